Give the transport between daemons and the leases packages of their own

Cause: a daemon that speaks the users' platform needs the peers' transport, the rendezvous orders and the leases, but not the HTTP client, the configuration schema or the TOML checks that came along with acaciarill.daemons and acaciarill.object_store. Ruled out: lazy imports inside the packages, which hide the dependency. Moved unchanged: codec, frames, links, server, topology to acaciarill.peers, the lease to acaciarill.leases; LeaseHolder and DutyManager name the two calls that they need as protocols.

--- a/acaciarill/capacity/_orders.py
+++ b/acaciarill/capacity/_orders.py
@@ -8,7 +8,8 @@
 
 from ..config import ConfigCoordinator
 from ..errors import LeaseLostError, Step
-from ..object_store import Lease, ObjectStore
+from ..leases import Lease
+from ..object_store import ObjectStore
 from ..upstreams import OrderSender
 from ._plan import Demand, Plan, plan_target
 from .const import INTENT_PREFIX
--- a/acaciarill/daemon.py
+++ b/acaciarill/daemon.py
@@ -24,13 +24,15 @@
 from .capacity import CapacityOrders, Demand
 from .capacity.const import DECISION_PERIOD_S
 from .config import ConfigCoordinator, ConfigStore
-from .daemons import DemandTable, LoadTable, Membership, PeerLinks, PeerServer, Spread, messages
-from .daemons.const import HEARTBEAT_PERIOD_S, PROTOCOL_VERSION
+from .daemons import DemandTable, LoadTable, Membership, Spread
+from .daemons.const import HEARTBEAT_PERIOD_S
 from .data_folder import DataFolder
 from .duties import DutyManager
 from .host_list import HostListClient
 from .object_store import ObjectStore
 from .operators import OperatorsApp
+from .peers import PeerLinks, PeerServer, messages
+from .peers.const import PROTOCOL_VERSION
 from .scorers import ScorerClient
 from .settings import Settings
 from .store_watcher import StoreWatcher
--- a/acaciarill/daemons/_membership.py
+++ b/acaciarill/daemons/_membership.py
@@ -4,7 +4,7 @@
 
 from ..host_list import HostEntry, digest_hosts
 from ..host_list.const import ROLE_ENTRY, ROLE_UPSTREAM
-from ._topology import parents, ranked, rendezvous_order, roots
+from ..peers import parents, ranked, rendezvous_order, roots
 from .const import HOST_LIST_SNAPSHOTS, SUSPECT_FOR_S
 
 
--- a/acaciarill/daemons/_spread.py
+++ b/acaciarill/daemons/_spread.py
@@ -9,14 +9,11 @@
 from ..config import ConfigCoordinator, section_digest
 from ..errors import AcaciarillError
 from ..host_list import HostEntry, HostListClient
+from ..peers import PeerLinks, PeerServer, messages, roots
 from ._ages import pack_ages, places_digest, unpack_ages
 from ._demand import DemandTable, Relation
-from ._links import PeerLinks
 from ._loads import LoadTable
 from ._membership import Membership
-from ._messages import messages
-from ._server import PeerServer
-from ._topology import roots
 from .const import FRESHNESS_BOUND_S, REMOTE_ASKED_PER_HEARTBEAT, SOURCE_STORE
 
 
--- a/acaciarill/daemons/const.py
+++ b/acaciarill/daemons/const.py
@@ -1,21 +1,9 @@
-"""Name the limits and periods of the protocol between daemons."""
-
-PROTOCOL_VERSION = 1
-MAX_FRAME_BYTES = 16 * 1024 * 1024
-LENGTH_BYTES = 4
-MAX_CALL_ID = 2**31 - 1
-
-CONNECT_TIMEOUT_S = 1.0
-CALL_TIMEOUT_S = 2.0
-GREETING_TIMEOUT_S = 2.0
-STREAM_BUFFER_FRAMES = 64
+"""Name the periods and limits of membership and spread."""
 
 HEARTBEAT_PERIOD_S = 1.0
 SUSPECT_FOR_S = 5.0
 FRESHNESS_BOUND_S = 8.0
 
-ROOTS_PER_DATA_CENTRE = 2
-TREE_FAN_OUT = 4
 REMOTE_ASKED_PER_HEARTBEAT = 1.5
 """How many other data centres a relay asks in each heartbeat, on average."""
 
--- a/acaciarill/duties.py
+++ b/acaciarill/duties.py
@@ -2,18 +2,31 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from eliot import log_message
 
-from .daemons import Membership, rendezvous_order
 from .errors import AcaciarillError
-from .object_store import Lease, LeaseHolder, ObjectStore
-from .object_store.const import LEASE_RENEW_S
+from .leases import Lease, LeaseHolder, LeaseStore
+from .leases.const import LEASE_RENEW_S
+from .peers import rendezvous_order
 from .timer import TimerService, Unsubscribe
 
 CANDIDATES = 3
 
 
+class Candidates(Protocol):
+    """Know which daemons may hold a duty."""
+
+    name: str
+
+    def daemons(self, data_centre: str | None = None) -> list[str]:
+        """Return the names of the live daemons."""
+
+    def relays_last(self, order: list[str]) -> list[str]:
+        """Return an order with the daemons that carry enough already at its end."""
+
+
 @dataclass(slots=True)
 class Duty:
     """Pair a lease with the work done under it; `data_centre` limits who may hold it."""
@@ -28,7 +41,7 @@
     """Take part in the leases for which this daemon is among the first candidates."""
 
     def __init__(
-        self, membership: Membership, store: ObjectStore, timer: TimerService, incarnation: str
+        self, membership: Candidates, store: LeaseStore, timer: TimerService, incarnation: str
     ) -> None:
         self.membership = membership
         self.store = store
--- a/acaciarill/object_store/_lease.py
+++ b/acaciarill/leases/_lease.py
@@ -2,16 +2,26 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 from uuid import uuid4
 
 import orjson
 from eliot import log_message
 
 from ..errors import Step, StoreConflictError, StoreError
-from ._client import ObjectStore
 from .const import LEASE_DRIFT_SHARE, LEASE_MARGIN_S, LEASE_PREFIX, LEASE_TTL_S
 
 
+class LeaseStore(Protocol):
+    """Read and conditionally write the objects that hold leases."""
+
+    async def get(self, key: str) -> tuple[bytes, int] | None:
+        """Return an object and its version, or None; raise StoreError."""
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        """Write an object of that version (0: it must not exist); raise StoreError."""
+
+
 @dataclass(slots=True)
 class LeaseRecord:
     """Hold a lease as stored; `ttl_s` is in seconds."""
@@ -65,7 +75,7 @@
         self,
         name: str,
         holder: str,
-        store: ObjectStore,
+        store: LeaseStore,
         clock: Callable[[], float],
         may_take: Callable[[], bool] = lambda: True,
         on_taken: Callable[[Lease], Awaitable[None]] | None = None,
--- a/acaciarill/object_store/__init__.py
+++ b/acaciarill/object_store/__init__.py
@@ -1,6 +1,5 @@
-"""Talk to the platform's Object API: objects, watches and leases."""
+"""Talk to the platform's Object API: objects and watches."""
 
 from ._client import ObjectStore, StoredObject, WatchResult
-from ._lease import Lease, LeaseHolder, LeaseRecord
 
-__all__ = ["Lease", "LeaseHolder", "LeaseRecord", "ObjectStore", "StoredObject", "WatchResult"]
+__all__ = ["ObjectStore", "StoredObject", "WatchResult"]
--- a/acaciarill/operators/_withdrawal.py
+++ b/acaciarill/operators/_withdrawal.py
@@ -4,10 +4,10 @@
 
 import anyio
 
-from ..daemons import messages
 from ..daemons.const import FRESHNESS_BOUND_S
 from ..errors import AcaciarillError
 from ..host_list.const import ROLE_ENTRY
+from ..peers import messages
 from .const import CONFIRM_GRACE_S, CONFIRM_PERIOD_S
 
 if TYPE_CHECKING:
--- a/acaciarill/daemons/_links.py
+++ b/acaciarill/peers/_links.py
@@ -8,8 +8,8 @@
 import anyio.abc
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from ..addresses import split_address
 from ..errors import Outcome, PeerError, Step
-from ..validation import split_address
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
 from .const import CALL_TIMEOUT_S, CONNECT_TIMEOUT_S, MAX_CALL_ID, STREAM_BUFFER_FRAMES
--- a/acaciarill/daemons/_server.py
+++ b/acaciarill/peers/_server.py
@@ -9,8 +9,8 @@
 from anyio.streams.tls import TLSListener
 from eliot import log_message
 
+from ..addresses import split_address
 from ..errors import AcaciarillError, BadRequestError, Outcome, RefusedError, Step
-from ..validation import split_address
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
 from .const import GREETING_TIMEOUT_S, PROTOCOL_VERSION
--- a/acaciarill/trainers/_app.py
+++ b/acaciarill/trainers/_app.py
@@ -8,8 +8,8 @@
 from ..callers.const import PATH_STEPS
 from ..config import ConfigCoordinator, Model
 from ..const import MS_PER_S
-from ..daemons import messages
 from ..errors import AcaciarillError, BadRequestError, Step
+from ..peers import messages
 from ._cursor import Cursor
 from ._holder import StepKey
 from ._steps import StepRequest, StepService
--- a/acaciarill/trainers/_cursor.py
+++ b/acaciarill/trainers/_cursor.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from itertools import accumulate
 
-from ..daemons import decode, encode, messages
 from ..errors import BadRequestError, Step
+from ..peers import decode, encode, messages
 from .const import MAX_SLOTS
 
 
--- a/acaciarill/trainers/_gathering.py
+++ b/acaciarill/trainers/_gathering.py
@@ -6,8 +6,8 @@
 
 import anyio
 
-from ..daemons import messages
 from ..errors import AcaciarillError, BadRequestError, Step
+from ..peers import messages
 from ._cursor import Cursor
 from ._holder import StepKey
 from .const import CODE_STEP_DIFFERS, HOLDERS_ASKED
--- a/acaciarill/trainers/_holder.py
+++ b/acaciarill/trainers/_holder.py
@@ -12,8 +12,8 @@
 
 from ..callers import Admission, Paces, cache_salt
 from ..config import ConfigCoordinator
-from ..daemons import messages
 from ..errors import AcaciarillError, BadRequestError, Step, UpstreamError
+from ..peers import messages
 from ..scorers import ScorerClient
 from ..telemetry import Telemetry
 from ..upstreams import Dispatcher, RetryBudget, UpstreamRequest
--- a/acaciarill/trainers/_steps.py
+++ b/acaciarill/trainers/_steps.py
@@ -9,8 +9,9 @@
 import orjson
 from eliot import log_message
 
-from ..daemons import Membership, PeerLinks, messages
+from ..daemons import Membership
 from ..errors import AcaciarillError, PeerError, RefusedError, Step
+from ..peers import PeerLinks, messages
 from ._cursor import Cursor
 from ._gathering import Gathering, Pulled, PullRequest, bitmap, raise_if_differs
 from ._holder import HeldGroup, SampleHolder, StepKey
--- a/acaciarill/upstreams/_coordinator.py
+++ b/acaciarill/upstreams/_coordinator.py
@@ -9,8 +9,9 @@
 import orjson
 
 from ..config import ConfigCoordinator, Upstream
-from ..daemons import LoadTable, Membership, rendezvous_order
-from ..daemons.const import ROOTS_PER_DATA_CENTRE
+from ..daemons import LoadTable, Membership
+from ..peers import rendezvous_order
+from ..peers.const import ROOTS_PER_DATA_CENTRE
 from ._routing import UpstreamState, choose
 from .const import LOAD_CALL_TIMEOUT_S, LOAD_WATCHERS
 
--- a/acaciarill/upstreams/_dispatch.py
+++ b/acaciarill/upstreams/_dispatch.py
@@ -6,8 +6,9 @@
 import anyio
 
 from ..const import MS_PER_S
-from ..daemons import Membership, PeerLinks, messages
+from ..daemons import Membership
 from ..errors import AcaciarillError, Outcome, PeerError, RefusedError, Step, UpstreamError
+from ..peers import PeerLinks, messages
 from ..telemetry import Telemetry
 from ._answer import Answer, UpstreamRequest
 from ._client import UpstreamClient
--- a/acaciarill/usage/_reporter.py
+++ b/acaciarill/usage/_reporter.py
@@ -7,7 +7,8 @@
 from eliot import log_message
 
 from ..errors import StoreConflictError
-from ..object_store import Lease, ObjectStore
+from ..leases import Lease
+from ..object_store import ObjectStore
 from ..upstreams import OrderSender
 from ._counter import Figures, UsageCounter
 from ._sealing import SealedWindow, seal_window
--- a/acaciarill/usage/_slots.py
+++ b/acaciarill/usage/_slots.py
@@ -7,9 +7,10 @@
 import orjson
 from eliot import log_message
 
-from ..daemons import Membership, PeerLinks, messages
+from ..daemons import Membership
 from ..errors import AcaciarillError, StoreConflictError
 from ..object_store import ObjectStore
+from ..peers import PeerLinks, messages
 from ._counter import Figures, SlotKey, UsageCounter
 from .const import COPIES, COPY_RESCUE_SHARE, SLOT_PREFIX
 
--- a/acaciarill/validation.py
+++ b/acaciarill/validation.py
@@ -44,9 +44,3 @@
         section = ".".join(path[:-1])
         faults.append(ConfigFault(file, section, path[-1] if path else "", item.error_message))
     return faults
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split a checked `ip:port` into its two parts."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/acaciarill/weight_store/_rollout.py
+++ b/acaciarill/weight_store/_rollout.py
@@ -11,7 +11,7 @@
 from ..config import ConfigCoordinator, Upstream
 from ..config.const import KIND_ENGINE
 from ..errors import AcaciarillError
-from ..object_store import Lease
+from ..leases import Lease
 from ..upstreams import OrderSender, UpstreamCoordinator
 from ._client import WeightStoreClient
 from .const import (
--- a/bench/message_sizes.py
+++ b/bench/message_sizes.py
@@ -3,9 +3,9 @@
 import time
 from collections import Counter
 
-from acaciarill.daemons import decode, encode, messages
 from acaciarill.daemons._changes import TableSender
 from acaciarill.daemons.const import CHANGES_PER_MESSAGE
+from acaciarill.peers import decode, encode, messages
 
 UPSTREAMS_HERE, DATA_CENTRES = 107, 7
 ROUNDS = 2000
--- a/tests/object_store/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -3,9 +3,8 @@
 import unittest
 
 from acaciarill.errors import StoreError
-from acaciarill.object_store import LeaseHolder
-from acaciarill.object_store._lease import hold_off_s
-from acaciarill.object_store.const import LEASE_MARGIN_S, LEASE_TTL_S
+from acaciarill.leases import LeaseHolder, hold_off_s
+from acaciarill.leases.const import LEASE_MARGIN_S, LEASE_TTL_S
 from tests.fakes.store import FakeStore
 
 
--- a/tests/daemons/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -5,17 +5,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from acaciarill.daemons import (
-    Membership,
-    decode,
-    messages,
-    parents,
-    ranked,
-    rendezvous_order,
-    roots,
-)
+from acaciarill.daemons import Membership
 from acaciarill.errors import BadRequestError
 from acaciarill.host_list import HostEntry
+from acaciarill.peers import decode, messages, parents, ranked, rendezvous_order, roots
 
 
 class TopologyTest(unittest.TestCase):
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -4,7 +4,7 @@
 
 from acaciarill.config import ConfigCoordinator
 from acaciarill.errors import AcaciarillError, Step
-from acaciarill.object_store import Lease
+from acaciarill.leases import Lease
 from acaciarill.usage import Figures, UsageCounter, UsageReporter
 from acaciarill.usage._counter import SlotKey
 from acaciarill.usage._slots import slot_name
--- a/tests/weight_store/test_rollout.py
+++ b/tests/weight_store/test_rollout.py
@@ -7,7 +7,7 @@
 
 from acaciarill.config import ConfigCoordinator, build_document
 from acaciarill.errors import AcaciarillError, Step
-from acaciarill.object_store import Lease
+from acaciarill.leases import Lease
 from acaciarill.weight_store import Rollout, plan_wave
 from acaciarill.weight_store._rollout import EngineVersion
 
