Run the product on the users' platform: requests, batches, duties and views

Adds the whole path, thin: acaciarill.edge (HTTP/1.1 with control of single connections, h11 on anyio), fleet (routes, upstreams, forwarding, members, the way to the store), mirrors (views of the store's objects), batches (durable acceptance, write-once result log, runner), control (usage, fleet size, weights, retirements), fleet_daemon (composition over ports) and platform (translation only).

--- /dev/null
+++ b/acaciarill/batches/__init__.py
@@ -0,0 +1,25 @@
+"""Accept batches of generations durably, run their items, and list each result once."""
+
+from ._book import BatchBook, BatchPorts, NotFoundError
+from ._log import ResultLog
+from ._model import BatchHead, Item, Page, Result, ScoreCall, StreamEvent, Submission
+from ._runner import BatchRunner, RunnerPorts
+from ._scheduler import EngineScheduler, Place
+
+__all__ = [
+    "BatchBook",
+    "BatchHead",
+    "BatchPorts",
+    "BatchRunner",
+    "EngineScheduler",
+    "Item",
+    "NotFoundError",
+    "Page",
+    "Place",
+    "Result",
+    "ResultLog",
+    "RunnerPorts",
+    "ScoreCall",
+    "StreamEvent",
+    "Submission",
+]
--- /dev/null
+++ b/acaciarill/batches/_runner.py
@@ -0,0 +1,311 @@
+"""Run the items of one owned batch and list their results."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import anyio
+from eliot import log_message
+
+from ..edge import HttpPool
+from ..errors import AcaciarillError, Outcome, UpstreamError
+from ..fleet import (
+    Attempt,
+    Call,
+    Configuration,
+    Forwarder,
+    Route,
+    UpstreamCodec,
+    UpstreamState,
+)
+from ._log import ResultLog
+from ._model import BatchHead, Item, Result, ScoreCall, StreamEvent, Submission
+from ._scheduler import EngineScheduler, Place
+from .const import (
+    APPEND_LINGER_S,
+    FAILED_PAUSE_S,
+    FULL_PAUSE_S,
+    REQUEST_ID_PLACE,
+    SCORE_RETRY_S,
+    SCORE_TIMEOUT_S,
+    STALL_S,
+    STATE_COMPLETED,
+    STATE_FAILED,
+)
+
+STATUS_OK = 200
+STATUS_IMPOSSIBLE = 422
+
+
+@dataclass(slots=True)
+class RunnerPorts:
+    """Hold what runners share: engines, scoring, the configuration and the clocks."""
+
+    pool: HttpPool
+    scheduler: EngineScheduler
+    forwarder: Forwarder
+    codec: UpstreamCodec
+    event_reader: Callable[[], Callable[[bytes], Iterable[StreamEvent]]]
+    configuration: Callable[[], Configuration | None]
+    clock: Callable[[], float]
+    true_time: Callable[[], float]
+
+
+@dataclass(slots=True)
+class _Text:
+    """Hold what has been generated of one item."""
+
+    events: list[str] = field(default_factory=list)
+    last_id: int | None = None
+    versions: list[int] = field(default_factory=list)
+
+    def take(self, event: StreamEvent, version: int) -> None:
+        if version not in self.versions:
+            self.versions.append(version)
+        self.events.append(event.data)
+        self.last_id = event.id
+
+
+class _Impossible(Exception):
+    """Tell that an item can never be done."""
+
+
+class BatchRunner:
+    """Generate, score and list every item that is not listed yet."""
+
+    def __init__(
+        self,
+        batch_id: str,
+        head: BatchHead,
+        submission: Submission,
+        log: ResultLog,
+        ports: RunnerPorts,
+    ) -> None:
+        self.batch_id = batch_id
+        self.head = head
+        self.submission = submission
+        self.log = log
+        self.ports = ports
+        self.ready: list[Result] = []
+        self.wakeup = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.unfinished = 0
+
+    async def run(self) -> None:
+        """Run until every item is listed, or `scope` is cancelled."""
+        with self.scope:
+            await self.log.load()
+            pending = [item for item in self.submission.items if item.id not in self.log.listed]
+            self.unfinished = len(pending)
+            if not pending:
+                return
+            order = {name: i for i, name in enumerate(dict.fromkeys(i.group for i in pending))}
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._append_results)
+                for item in pending:
+                    tasks.start_soon(self._run_item, item, order[item.group])
+            log_message(
+                message_type="batch:finished", batch=self.batch_id, listed=len(self.log.results)
+            )
+
+    def stop(self) -> None:
+        """End all runs; engines drop them when their connections close."""
+        self.scope.cancel()
+
+    def _route(self) -> Route | None:
+        configuration = self.ports.configuration()
+        return configuration.match(self.head.host, self.head.path) if configuration else None
+
+    def _given_up(self, route: Route | None) -> bool:
+        if route is None or not route.max_queue_s:
+            return False
+        return self.ports.true_time() > self.head.submitted_at + route.max_queue_s
+
+    async def _append_results(self) -> None:
+        """Write finished results, those that end close together in one segment."""
+        while self.unfinished:
+            await self.wakeup.wait()
+            await anyio.sleep(APPEND_LINGER_S)
+            self.wakeup = anyio.Event()
+            ready, self.ready = self.ready, []
+            await self.log.append(ready)
+            self.unfinished -= len(ready)
+
+    async def _run_item(self, item: Item, group_order: int) -> None:
+        text = _Text()
+        result = Result(item.id, STATE_FAILED)
+        try:
+            if await self._generate(item, group_order, text):
+                score = await self._score(item.score) if item.score is not None else None
+                result = Result(
+                    item.id,
+                    STATE_COMPLETED,
+                    "\n".join(text.events),
+                    tuple(sorted(text.versions)),
+                    score,
+                )
+        except _Impossible as reason:
+            log_message(
+                message_type="item:given_up",
+                batch=self.batch_id,
+                request=item.id,
+                reason=str(reason),
+            )
+        self.ready.append(result)
+        self.wakeup.set()
+
+    async def _generate(self, item: Item, group_order: int, text: _Text) -> bool:
+        """Generate the whole text, resuming on other engines; False when it was given up."""
+        failures = 0
+        avoid = ""
+        while True:
+            route = self._route()
+            if route is None:
+                raise _Impossible("the route is gone")
+            if self._given_up(route):
+                raise _Impossible("it waited too long")
+            place = self._place(item, group_order, route, text, avoid)
+            started = self.ports.clock()
+            async with self.ports.scheduler.place(place) as state:
+                waited = self.ports.clock() - started
+                status, reason = await self._attempt(item, route, text, state)
+            log_message(
+                message_type="item:attempt",
+                batch=self.batch_id,
+                request=item.id,
+                upstream=state.upstream.id,
+                version=state.upstream.versions.get(self.submission.model),
+                status=status,
+                reason=reason,
+                last_event=text.last_id,
+                waited_s=round(waited, 3),
+                ran_s=round(self.ports.clock() - started - waited, 3),
+            )
+            if status == STATUS_OK and not reason:
+                return True
+            if status == STATUS_IMPOSSIBLE:
+                raise _Impossible("the engine says that it can never be done")
+            if status >= 500 and reason == "failed":
+                failures += 1
+                if failures >= route.max_attempts:
+                    raise _Impossible("every attempt failed")
+            avoid = state.upstream.id
+            await anyio.sleep(FULL_PAUSE_S if reason == "not run" else FAILED_PAUSE_S)
+
+    def _place(self, item: Item, group_order: int, route: Route, text: _Text, avoid: str) -> Place:
+        deadline = self.head.submitted_at + route.result_deadline_s
+        exact = text.versions[0] if route.single_version and text.versions else None
+        return Place(
+            route.service(0.0),
+            self.submission.model,
+            self.submission.min_version,
+            (deadline, float(group_order)),
+            item.group,
+            exact,
+            avoid,
+        )
+
+    async def _attempt(
+        self, item: Item, route: Route, text: _Text, state: UpstreamState
+    ) -> tuple[int, str]:
+        """Run an item on one engine; return the status and why the text is not whole, if so."""
+        ports = self.ports
+        attempt = Attempt(
+            state.upstream,
+            max(0.5, self.head.submitted_at + route.max_queue_s - ports.true_time()),
+            self.head.customer,
+            resume_after=text.last_id,
+        )
+        own = [(b"Host", self.head.host.encode()), *item.headers]
+        headers = ports.codec.encode([*own, (REQUEST_ID_PLACE, item.id.encode())], attempt)
+        status = 0
+        try:
+            with anyio.CancelScope() as scope:
+                scope.deadline = anyio.current_time() + STALL_S
+                async with ports.pool.exchange(
+                    state.upstream.address,
+                    "POST",
+                    item.path,
+                    headers,
+                    item.body,
+                    lifetime=state.upstream.lifetime,
+                ) as exchange:
+                    head = await exchange.read_head()
+                    status = head.status
+                    facts = ports.codec.decode(head)
+                    if facts.load is not None:
+                        state.note_report(facts.load, ports.clock())
+                    if status != STATUS_OK:
+                        await exchange.read_body()
+                        if facts.not_run:
+                            state.note_full(ports.clock())
+                            return status, "not run"
+                        return status, "failed"
+                    if facts.request_id != item.id:
+                        return status, "the answer is not to this request"
+                    version = facts.weight_version
+                    if version is None:
+                        return status, "no weight version"
+                    read = ports.event_reader()
+                    async for chunk in exchange.chunks():
+                        for event in read(chunk):
+                            scope.deadline = anyio.current_time() + STALL_S
+                            version = version if event.version is None else event.version
+                            if not self._fits(route, text, version):
+                                return status, "the weight version does not fit"
+                            if text.last_id is not None and event.id != text.last_id + 1:
+                                return status, "an event is missing"
+                            text.take(event, version)
+            if scope.cancelled_caught:
+                state.note_failure(ports.clock())
+                ports.pool.forget(state.upstream.address)
+                return status, "no event in time"
+        except UpstreamError as error:
+            state.note_failure(ports.clock())
+            ports.pool.forget(state.upstream.address)
+            return status, error.message
+        state.note_success()
+        return status, ""
+
+    def _fits(self, route: Route, text: _Text, version: int) -> bool:
+        """Tell whether an event of this version may join the text; else starts the text anew."""
+        if version < self.submission.min_version:
+            return False
+        if route.single_version and text.versions and text.versions != [version]:
+            text.events, text.versions, text.last_id = [], [], None
+            return False
+        return True
+
+    async def _score(self, score: ScoreCall) -> str:
+        """Return the proof of a finished scoring call."""
+        errors = 0
+        while True:
+            configuration = self.ports.configuration()
+            route = configuration.match(score.host, score.path) if configuration else None
+            if route is None:
+                raise _Impossible("the scoring route is gone")
+            call = Call(
+                score.id,
+                "POST",
+                score.path,
+                [(b"Host", score.host.encode()), (REQUEST_ID_PLACE, score.id.encode())],
+                score.body,
+                route,
+                route.service(self.ports.forwarder.chance.random()),
+                "",
+                self.ports.clock() + SCORE_TIMEOUT_S,
+                counted=False,
+            )
+            try:
+                reply = await self.ports.forwarder.forward(call)
+                stamp = self.ports.codec.decode(reply.head).stamp
+                if reply.head.status // 100 == 2 and stamp:
+                    return stamp
+            except AcaciarillError as error:
+                if error.outcome is Outcome.NOT_RUN and error.retry_after_s:
+                    await anyio.sleep(error.retry_after_s)
+            errors += call.error_replies
+            if errors >= route.max_attempts:
+                raise _Impossible("every scoring attempt failed")
+            if self._given_up(self._route()):
+                raise _Impossible("scoring waited too long")
+            await anyio.sleep(SCORE_RETRY_S)
--- /dev/null
+++ b/acaciarill/batches/_scheduler.py
@@ -0,0 +1,109 @@
+"""Give the items of all own batches places on engines, in the order that earns most."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+
+from ..fleet import UpstreamState, UpstreamTable
+
+
+@dataclass(slots=True)
+class Place:
+    """Describe what one item needs; lower `rank` goes first.
+
+    An engine must hold at least `min_version` of the model; `exact_version` binds a resumed text
+    that may name one version only.
+    """
+
+    service: str
+    model: str
+    min_version: int
+    rank: tuple[float, ...]
+    group: str
+    exact_version: int | None = None
+    avoid: str = ""
+
+
+@dataclass(slots=True)
+class _Waiter:
+    place: Place
+    ready: anyio.Event = field(default_factory=anyio.Event)
+    given: UpstreamState | None = None
+
+
+class EngineScheduler:
+    """Hand out slots of engines to waiting items."""
+
+    def __init__(self, table: UpstreamTable, clock: Callable[[], float]) -> None:
+        self.table = table
+        self.clock = clock
+        self.waiters: list[_Waiter] = []
+        self.group_places: dict[str, str] = {}
+        table.subscribe(self.hand_out)
+
+    @asynccontextmanager
+    async def place(self, place: Place) -> AsyncIterator[UpstreamState]:
+        """Wait for a slot and hold it for the block."""
+        waiter = _Waiter(place)
+        self.waiters.append(waiter)
+        self.hand_out()
+        try:
+            await waiter.ready.wait()
+            assert waiter.given is not None
+            yield waiter.given
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+            if waiter.given is not None:
+                waiter.given.in_flight -= 1
+                self.table.changed()
+
+    def hand_out(self) -> None:
+        """Give free slots to the waiting items, the first in rank first."""
+        if not self.waiters:
+            return
+        now = self.clock()
+        for waiter in sorted(self.waiters, key=lambda waiter: waiter.place.rank):
+            state = self._choose(waiter.place, now)
+            if state is None:
+                continue
+            state.in_flight += 1
+            waiter.given = state
+            self.group_places[waiter.place.group] = state.upstream.id
+            self.waiters.remove(waiter)
+            waiter.ready.set()
+
+    def _choose(self, place: Place, now: float) -> UpstreamState | None:
+        """Return an engine with a free slot, the one that has read the group's prompt if it can."""
+        states = [
+            state
+            for state in self.table.of(place.service)
+            if state.usable(now)
+            and state.full_until <= now
+            and state.loading_until <= now
+            and state.free_slots(now) > 0
+            and _version_fits(place, state)
+        ]
+        if not states:
+            return None
+        others = [state for state in states if state.upstream.id != place.avoid] or states
+        known = self.group_places.get(place.group)
+        return min(
+            others,
+            key=lambda state: (
+                state.upstream.id != known,
+                state.load(now),
+                state.upstream.data_centre != self.table.data_centre,
+            ),
+        )
+
+
+def _version_fits(place: Place, state: UpstreamState) -> bool:
+    version = state.upstream.versions.get(place.model)
+    if version is None:
+        return False
+    if place.exact_version is not None:
+        return version == place.exact_version
+    return version >= place.min_version
--- /dev/null
+++ b/acaciarill/batches/const.py
@@ -0,0 +1,40 @@
+"""Name the kinds, limits and times of batches."""
+
+KIND_HEADS = "batches"
+KIND_PARTS = "batch-parts"
+KIND_RESULTS = "batch-results"
+
+PART_CHARACTERS = 300_000
+"""A stored object holds at most 1 MB; escaping may triple what a part takes."""
+SEGMENT_BYTES = 500_000
+PAGE_BYTES = 700_000
+"""An answer to a reader holds at most 1 MB."""
+
+APPEND_LINGER_S = 0.1
+"""Results that end within this time share one write to the store."""
+APPEND_RETRY_S = 0.2
+ACCEPT_RETRY_S = 0.15
+ACCEPT_LIMIT_S = 8.0
+"""Acceptance is settled for at most so long; callers wait 12 s."""
+READ_RETRY_S = 0.3
+READ_GRACE_S = 1.0
+END_LIMIT_S = 4.0
+
+STALL_S = 2.5
+"""A stream without an event for so long is resumed elsewhere; a change of weights takes 0.9 s."""
+FULL_PAUSE_S = 0.1
+FAILED_PAUSE_S = 0.2
+SCORE_TIMEOUT_S = 3.0
+SCORE_RETRY_S = 0.3
+
+POLL_PERIOD_S = 0.5
+KEEP_AFTER_S = 150.0
+"""Batches are deleted so long after their submission, beyond the 120 s in which they are read."""
+KEPT_LOGS = 32
+"""Finished or foreign batches whose results are kept in memory."""
+
+STATE_COMPLETED = "completed"
+STATE_FAILED = "failed"
+
+REQUEST_ID_PLACE = b"x-request-id"
+"""Names the request's own id among the headers; the codec writes it as upstreams expect it."""
--- /dev/null
+++ b/acaciarill/edge/_server.py
@@ -0,0 +1,330 @@
+"""Serve HTTP/1.1 requesters connection by connection."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import h11
+from eliot import log_message
+
+from ..addresses import split_address
+from .const import (
+    DEFAULT_BODY_BYTES,
+    DEFAULT_HEADER_BYTES,
+    DEFAULT_HEADER_TIMEOUT_S,
+    DEFAULT_IDLE_TIMEOUT_S,
+    LINGER_S,
+    READ_BYTES,
+)
+
+_LOST = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
+
+
+@dataclass(slots=True)
+class EdgeLimits:
+    """Bound what a caller may send and how long it may take."""
+
+    header_bytes: int = DEFAULT_HEADER_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+
+
+@dataclass(slots=True)
+class Request:
+    """Hold one request that was read whole; `headers` keep the caller's spelling."""
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    received_at: float
+    fields: dict[bytes, bytes] = field(default_factory=dict)
+
+    def get(self, name: bytes) -> str:
+        """Return the first value of a header by its lower-case name, or an empty string."""
+        return self.fields.get(name, b"").decode("latin-1")
+
+
+class _Rejected(Exception):
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class Responder:
+    """Answer one request: whole, or as a stream that may break off visibly."""
+
+    def __init__(self, connection: "_ServerConnection") -> None:
+        self.connection = connection
+        self.started = False
+        self.finished = False
+
+    async def answer(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
+    ) -> None:
+        """Send a whole answer."""
+        fields = [*headers, (b"Content-Length", str(len(body)).encode())]
+        data = self._head(status, fields)
+        protocol = self.connection.protocol
+        if body:
+            data += protocol.send(h11.Data(data=body)) or b""
+        data += protocol.send(h11.EndOfMessage()) or b""
+        await self.connection.stream.send(data)
+        self.finished = True
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head of a streamed answer."""
+        await self.connection.stream.send(
+            self._head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of a streamed answer."""
+        await self.connection.stream.send(self.connection.protocol.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """End a streamed answer as complete."""
+        await self.connection.stream.send(self.connection.protocol.send(h11.EndOfMessage()) or b"")
+        self.finished = True
+
+    def _head(self, status: int, fields: list[tuple[bytes, bytes]]) -> bytes:
+        self.started = True
+        if self.connection.closing():
+            fields.append((b"Connection", b"close"))
+        response = h11.Response(status_code=status, headers=fields)
+        return self.connection.protocol.send(response) or b""
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+class EdgeServer:
+    """Accept connections and hand each whole request to the handler."""
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        clock: Callable[[], float],
+        limits: Callable[[], EdgeLimits] = EdgeLimits,
+    ) -> None:
+        self.address = address
+        self.handler = handler
+        self.clock = clock
+        self.limits = limits
+        self.draining = False
+        self.active = 0
+        self.connections: set[_ServerConnection] = set()
+        self._listening = anyio.CancelScope()
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        host, port = split_address(self.address)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=512)
+        task_status.started()
+        async with anyio.create_task_group() as connections:
+            with self._listening:
+                async with listener:
+                    await listener.serve(self._serve, connections)
+
+    def stop_accepting(self) -> None:
+        """Close the listener; open connections go on."""
+        self._listening.cancel()
+
+    def drain(self) -> None:
+        """End idle connections now and the others after their next answer."""
+        self.draining = True
+        for connection in list(self.connections):
+            if connection.idle_scope is not None:
+                connection.idle_scope.cancel()
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        connection = _ServerConnection(self, stream)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except _LOST:
+            pass
+        except Exception as error:  # a fault on one connection must not end the others
+            log_message(message_type="edge:connection_failed", error=repr(error))
+        finally:
+            self.connections.discard(connection)
+            with anyio.CancelScope(shield=True):
+                await connection.close()
+
+
+class _ServerConnection:
+    """Read requests from one connection and answer them one at a time."""
+
+    def __init__(self, server: EdgeServer, stream: anyio.abc.SocketStream) -> None:
+        self.server = server
+        self.stream = stream
+        self.limits = server.limits()
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes + READ_BYTES
+        )
+        self.idle_scope: anyio.CancelScope | None = None
+        self.broken = False
+
+    def closing(self) -> bool:
+        """Tell whether the answer must announce the end of the connection."""
+        return self.server.draining or self.protocol.their_state is h11.MUST_CLOSE
+
+    async def run(self) -> None:
+        while True:
+            request = await self._read_request()
+            if request is None:
+                return
+            self.server.active += 1
+            try:
+                responder = Responder(self)
+                await self._handle(request, responder)
+            finally:
+                self.server.active -= 1
+            if not responder.finished or not self._next_cycle():
+                return
+
+    async def close(self) -> None:
+        if self.broken:
+            await anyio.aclose_forcefully(self.stream)
+            return
+        try:
+            await self.stream.send_eof()
+            with anyio.move_on_after(LINGER_S):
+                while True:
+                    await self.stream.receive(READ_BYTES)
+        except _LOST:
+            pass
+        await anyio.aclose_forcefully(self.stream)
+
+    def _next_cycle(self) -> bool:
+        protocol = self.protocol
+        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+            return False
+        protocol.start_next_cycle()
+        return not (self.server.draining and not protocol.trailing_data[0])
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_caller, tasks.cancel_scope)
+            await self.server.handler(request, responder)
+            tasks.cancel_scope.cancel()
+        if not responder.finished:
+            self.broken = True  # the caller must see a broken answer, never a short one
+
+    async def _watch_caller(self, scope: anyio.CancelScope) -> None:
+        """Cancel the work on a request whose caller has left; keep early bytes for later."""
+        try:
+            while True:
+                self.protocol.receive_data(await self.stream.receive(READ_BYTES))
+        except _LOST:
+            self.broken = True
+            scope.cancel()
+
+    async def _read_request(self) -> Request | None:
+        try:
+            return await self._read_whole()
+        except _Rejected as rejected:
+            await self._reject(rejected.status)
+        except h11.RemoteProtocolError as error:
+            await self._reject(error.error_status_hint or 400)
+        return None
+
+    async def _read_whole(self) -> Request | None:
+        head = await self._read_head()
+        if head is None:
+            return None
+        received_at = self.server.clock()
+        fields = {bytes(name): bytes(value) for name, value in reversed(list(head.headers))}
+        if b"transfer-encoding" in fields and b"content-length" in fields:
+            raise _Rejected(400)  # two framings: what one hop takes as body the next may not
+        body = await self._read_body(fields)
+        return Request(
+            head.method.decode(),
+            head.target.decode("latin-1"),
+            [(bytes(name), bytes(value)) for name, value in head.headers.raw_items()],
+            body,
+            received_at,
+            fields,
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        """Return the next request's head; None when the caller left or stayed idle."""
+        limits = self.limits
+        event = self.protocol.next_event()
+        if event is h11.NEED_DATA and not self.protocol.trailing_data[0]:
+            if self.server.draining:
+                return None
+            with anyio.move_on_after(limits.idle_timeout_s) as scope:
+                self.idle_scope = scope
+                data = await self._receive()
+            self.idle_scope = None
+            if scope.cancelled_caught or not data:
+                return None
+            self.protocol.receive_data(data)
+            event = self.protocol.next_event()
+        started = time.monotonic()
+        while event is h11.NEED_DATA:
+            if len(self.protocol.trailing_data[0]) > limits.header_bytes:
+                raise _Rejected(431)
+            with anyio.move_on_after(started + limits.header_timeout_s - time.monotonic()) as scope:
+                data = await self._receive()
+            if scope.cancelled_caught:
+                raise _Rejected(408)
+            if not data:
+                return None
+            self.protocol.receive_data(data)
+            event = self.protocol.next_event()
+        if not isinstance(event, h11.Request):
+            return None
+        size = sum(len(name) + len(value) + 4 for name, value in event.headers)
+        if size + len(event.target) > limits.header_bytes:
+            raise _Rejected(431)
+        return event
+
+    async def _read_body(self, fields: dict[bytes, bytes]) -> bytes:
+        limits = self.limits
+        announced = fields.get(b"content-length", b"0")
+        if announced.isdigit() and int(announced) > limits.body_bytes:
+            raise _Rejected(413)
+        if fields.get(b"expect", b"").lower() == b"100-continue":
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            await self.stream.send(self.protocol.send(informational) or b"")
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                with anyio.move_on_after(limits.idle_timeout_s) as scope:
+                    data = await self._receive()
+                if scope.cancelled_caught:
+                    raise _Rejected(408)
+                if not data:
+                    raise anyio.EndOfStream
+                self.protocol.receive_data(data)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise _Rejected(413)
+                parts.append(bytes(event.data))
+            else:
+                return b"".join(parts)
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self.stream.receive(READ_BYTES)
+        except _LOST:
+            self.broken = True
+            return b""
+
+    async def _reject(self, status: int) -> None:
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        data = self.protocol.send(h11.Response(status_code=status, headers=headers)) or b""
+        data += self.protocol.send(h11.EndOfMessage()) or b""
+        await self.stream.send(data)
+        log_message(message_type="edge:rejected", status=status)
--- a/acaciarill/errors.py
+++ b/acaciarill/errors.py
@@ -130,6 +130,14 @@
     outcome = Outcome.NOT_RUN
 
 
+class StoreHistoryGoneError(StoreError):
+    """Report a watch from a revision whose history the store has dropped."""
+
+    code = "history-gone"
+    status = 410
+    outcome = Outcome.NOT_RUN
+
+
 class LeaseLostError(AcaciarillError):
     """Report an order stopped because its lease was no longer surely held."""
 
--- /dev/null
+++ b/acaciarill/fleet/__init__.py
@@ -0,0 +1,41 @@
+"""Serve a shared fleet: routes, upstreams, forwarding, members and the way to the store."""
+
+from ._forward import Attempt, Call, Forwarder, UpstreamCodec
+from ._members import ROLE_FRONT, Member, Members
+from ._model import (
+    AnswerFacts,
+    Configuration,
+    Engine,
+    LoadReport,
+    Route,
+    RouteKind,
+    Scaling,
+    Service,
+    Upstream,
+    order_routes,
+)
+from ._store_channel import StoreChannel
+from ._upstreams import UpstreamState, UpstreamTable
+
+__all__ = [
+    "ROLE_FRONT",
+    "AnswerFacts",
+    "Attempt",
+    "Call",
+    "Configuration",
+    "Engine",
+    "Forwarder",
+    "LoadReport",
+    "Member",
+    "Members",
+    "Route",
+    "RouteKind",
+    "Scaling",
+    "Service",
+    "StoreChannel",
+    "Upstream",
+    "UpstreamCodec",
+    "UpstreamState",
+    "UpstreamTable",
+    "order_routes",
+]
--- /dev/null
+++ b/acaciarill/fleet/const.py
@@ -0,0 +1,50 @@
+"""Name the timeouts, limits and weights of serving a shared fleet of upstreams."""
+
+ATTEMPT_OBJECTIVE_FACTOR = 2.0
+"""An attempt that may be repeated is given up after so many times the route's objective."""
+ATTEMPT_MIN_S = 0.25
+EJECT_S = 1.5
+"""How long an upstream that did not answer is left alone; longer than most restarts' resets."""
+EJECT_MAX_S = 6.0
+FULL_BACK_OFF_S = 0.2
+"""How long an upstream that said it was full is passed over while others have room."""
+LOAD_REPORT_KEPT_S = 1.0
+"""An upstream's own load figures are believed for so long; its load changes within a second."""
+RETRY_PAUSE_S = 0.03
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_SPREAD_S = 0.3
+DEADLINE_RESERVE_S = 0.02
+"""Kept back of a caller's time so that the final answer still reaches it."""
+
+PING_PERIOD_S = 1.0
+PING_TIMEOUT_S = 0.8
+SUSPECT_AFTER_S = 2.5
+"""A daemon that answered no ping for so long is passed over; two periods and a time-out."""
+STORE_FRESH_S = 3.0
+"""A peer that had an answer of the store within this time may relay calls to it."""
+
+STORE_CALL_TIMEOUT_S = 1.0
+"""Calls take 4 ms, and 60 times as long while the store is slow."""
+STORE_AVOID_S = 2.0
+"""How long calls go through peers after the store turned this host away."""
+WATCH_WAIT_S = 15.0
+WATCH_GRACE_S = 1.5
+WATCH_RETRY_S = 0.25
+WATCH_BEHIND_S = 0.5
+"""A watch that has not shown what a peer already knows for so long is opened anew."""
+VIEW_FETCH_PERIOD_S = 0.5
+
+USAGE_POLL_S = 1.0
+USAGE_SETTLE_S = 2.5
+"""A window is summed so long after its end; all daemons answer polls within this time."""
+USAGE_KEEP_WINDOWS = 8
+WEIGHTS_PERIOD_S = 0.2
+ORDER_TIMEOUT_S = 1.0
+ORDER_RETRY_S = 2.0
+SCALE_PERIOD_S = 1.0
+RETIRE_PERIOD_S = 0.5
+
+DRAIN_NOTICE_S = 2.6
+"""The balancer takes a daemon out after two missed questions, asked once a second."""
+DRAIN_MARGIN_S = 0.8
+DRAIN_POLL_S = 0.05
--- /dev/null
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -0,0 +1,239 @@
+"""Speak with the other daemons: pings, views, relayed store calls, batch reads, usage counts."""
+
+import random
+from uuid import uuid4
+
+import anyio
+import anyio.abc
+import orjson
+from eliot import log_message
+
+from ..batches import BatchBook, Page, Result
+from ..control import RunCounter
+from ..errors import Outcome, PeerError, Step
+from ..fleet import ROLE_FRONT, Members, StoreChannel
+from ..fleet.const import PING_TIMEOUT_S
+from ..mirrors import Mirror, MirrorFollower
+from ..peers import PeerLinks, PeerServer, messages
+from ..peers.const import PROTOCOL_VERSION
+
+MS_PER_S = 1000
+RELAY_GRACE_S = 0.3
+"""How much longer the relaying side waits than the store call may take."""
+RELAYS_TRIED = 2
+
+
+class PeerService:
+    """Answer the other daemons and ask them."""
+
+    def __init__(
+        self,
+        members: Members,
+        channel: StoreChannel,
+        followers: dict[str, MirrorFollower],
+        counter: RunCounter,
+        seeds: tuple[str, ...],
+        task_group: anyio.abc.TaskGroup,
+        chance: random.Random,
+    ) -> None:
+        self.members = members
+        self.channel = channel
+        self.followers = followers
+        self.counter = counter
+        self.seeds = seeds
+        self.chance = chance
+        self.incarnation = f"{members.name}.{uuid4().hex[:8]}"
+        self.book: BatchBook | None = None
+        self.fetching: set[str] = set()
+        own = members.own
+        greeting = messages.Greeting(
+            protocol_version=PROTOCOL_VERSION,
+            daemon=own.name,
+            incarnation=self.incarnation,
+            data_centre=own.data_centre,
+        )
+        self.task_group = task_group
+        self.links = PeerLinks(greeting, task_group)
+        self.server = PeerServer(own.address)
+        self.server.handlers |= {
+            "ping": self._on_ping,
+            "fetch_view": self._on_fetch_view,
+            "store_call": self._on_store_call,
+            "read_batch": self._on_read_batch,
+            "collect_usage": self._on_collect_usage,
+        }
+
+    # Membership and views
+
+    def _own_ping(self) -> messages.Ping:
+        own = self.members.own
+        return messages.Ping(
+            daemon=own.name,
+            address=own.address,
+            data_centre=own.data_centre,
+            role=own.role,
+            positions={kind: f.mirror.position for kind, f in self.followers.items()},
+            store_reached=self.channel.reached,
+        )
+
+    def _hear(self, ping: messages.Ping) -> None:
+        positions = dict(ping.positions or {})
+        self.members.note_heard(
+            ping.daemon,
+            ping.address,
+            ping.data_centre,
+            ping.role,
+            positions,
+            bool(ping.store_reached),
+        )
+        for kind, position in positions.items():
+            follower = self.followers.get(kind)
+            if follower is not None and follower.note_peer(position):
+                self.task_group.start_soon(self._fetch_view, ping.address, kind)
+
+    async def _on_ping(self, ping: messages.Ping) -> dict[str, messages.Ping]:
+        self._hear(ping)
+        return {"ping": self._own_ping()}
+
+    async def ping_some(self) -> None:
+        """Ping the daemon that this one would succeed, another at random, or the seeds."""
+        members = self.members
+        names = set(members.predecessors())
+        others = [name for name in members.members if name not in names | {members.name}]
+        if others:
+            names.add(self.chance.choice(others))
+        targets = {members.members[name].address: name for name in names}
+        if len(members.members) == 1:
+            targets |= {seed: "" for seed in self.seeds if seed != members.own.address}
+        async with anyio.create_task_group() as pings:
+            for address, name in targets.items():
+                pings.start_soon(self._ping, address, name)
+
+    async def announce(self) -> None:
+        """Tell every daemon at once how far this one's views have come."""
+        async with anyio.create_task_group() as pings:
+            for member in list(self.members.members.values()):
+                if member is not self.members.own:
+                    pings.start_soon(self._ping, member.address, member.name)
+
+    async def _ping(self, address: str, name: str) -> None:
+        try:
+            frame = await self.links.call(address, PING_TIMEOUT_S, ping=self._own_ping())
+            self._hear(frame.ping)
+        except PeerError:
+            if name:
+                self.members.note_failed(name)  # which logs the first failure in a row
+
+    async def _on_fetch_view(self, call: messages.FetchView) -> dict[str, messages.ViewData]:
+        mirror = self._mirror(call.kind)
+        return {"view_data": messages.ViewData(position=mirror.position, records=mirror.encode())}
+
+    def _mirror(self, kind: str) -> Mirror:
+        follower = self.followers.get(kind)
+        if follower is None or not follower.mirror.loaded:
+            raise PeerError("this view is not known here", step=Step.FORWARD)
+        return follower.mirror
+
+    async def _fetch_view(self, address: str, kind: str) -> None:
+        """Take a view that a peer has further than this daemon's own watch brought it."""
+        if kind in self.fetching:
+            return
+        self.fetching.add(kind)
+        try:
+            call = messages.FetchView(kind=kind)
+            frame = await self.links.call(address, fetch_view=call)
+        except PeerError as error:
+            log_message(message_type="view:fetch_failed", kind=kind, reason=error.message)
+            return
+        finally:
+            self.fetching.discard(kind)
+        follower = self.followers[kind]
+        before = follower.mirror.position
+        records = Mirror.decode(frame.view_data.records)
+        if follower.mirror.replace(frame.view_data.position, records):
+            follower.must_list = False
+            log_message(
+                message_type="view:fetched",
+                kind=kind,
+                peer=address,
+                before=before,
+                position=follower.mirror.position,
+            )
+
+    # Calls to the store
+
+    async def relay(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes] | None:
+        """Pass a store call on through a peer that reaches the store; None if there is none."""
+        for member in self.members.relays()[:RELAYS_TRIED]:
+            call = messages.StoreCall(
+                method=method, target=target, body=body, timeout_ms=int(timeout_s * MS_PER_S)
+            )
+            try:
+                frame = await self.links.call(
+                    member.address, timeout_s + RELAY_GRACE_S, store_call=call
+                )
+                return frame.store_answer.status, frame.store_answer.body
+            except PeerError as error:
+                member.store_reached_at = -1e9
+                if error.outcome is not Outcome.NOT_RUN and method != "GET":
+                    raise
+        return None
+
+    async def _on_store_call(self, call: messages.StoreCall) -> dict[str, messages.StoreAnswer]:
+        status, body = await self.channel.call_directly(
+            call.method, call.target, call.body, call.timeout_ms / MS_PER_S
+        )
+        return {"store_answer": messages.StoreAnswer(status=status, body=body)}
+
+    # Batches
+
+    async def read_at_owner(self, address: str, batch_id: str, after: int, wait_s: float) -> Page:
+        """Return results of a batch from the daemon that runs it; raise PeerError."""
+        call = messages.ReadBatch(batch=batch_id, after=after, wait_ms=int(wait_s * MS_PER_S))
+        frame = await self.links.call(address, wait_s + 1.0, read_batch=call)
+        found = frame.batch_results
+        rows = orjson.loads(found.results)
+        return Page(found.total, found.next_position, [Result.from_row(row) for row in rows])
+
+    async def _on_read_batch(self, call: messages.ReadBatch) -> dict[str, messages.BatchResults]:
+        if self.book is None:
+            raise PeerError("no batches are kept here", step=Step.FORWARD, outcome=Outcome.NOT_RUN)
+        page = await self.book.own_results(call.batch, call.after, call.wait_ms / MS_PER_S)
+        rows = orjson.dumps([result.row() for result in page.results])
+        found = messages.BatchResults(total=page.total, next_position=page.next, results=rows)
+        return {"batch_results": found}
+
+    # Usage
+
+    async def collect_usage(self, window: int) -> dict[str, dict[int, dict[str, int]]]:
+        """Return every reachable daemon's counts from a window on, by incarnation."""
+        found = {self.incarnation: self.counter.since(window)}
+
+        async def ask(address: str) -> None:
+            call = messages.CollectUsage(first_window=window)
+            try:
+                frame = await self.links.call(address, PING_TIMEOUT_S, collect_usage=call)
+            except PeerError as error:
+                log_message(message_type="usage:not_collected", peer=address, reason=error.message)
+                return
+            answer = frame.collected_usage
+            found[answer.incarnation] = {
+                key: dict(counts) for key, counts in (answer.counts or {}).items()
+            }
+
+        async with anyio.create_task_group() as asks:
+            for member in list(self.members.members.values()):
+                serves = member is not self.members.own and member.role == ROLE_FRONT
+                if serves and not self.members.dead(member.name):
+                    asks.start_soon(ask, member.address)
+        return found
+
+    async def _on_collect_usage(
+        self, call: messages.CollectUsage
+    ) -> dict[str, messages.CollectedUsage]:
+        counts = self.counter.since(call.first_window)
+        return {
+            "collected_usage": messages.CollectedUsage(incarnation=self.incarnation, counts=counts)
+        }
--- /dev/null
+++ b/acaciarill/mirrors/_mirror.py
@@ -0,0 +1,181 @@
+"""Follow the objects of one kind and never go back to an older state of one."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import anyio
+import orjson
+from eliot import log_message
+
+from ..errors import StoreError, StoreHistoryGoneError
+from ..fleet.const import WATCH_BEHIND_S, WATCH_RETRY_S, WATCH_WAIT_S
+
+Listener = Callable[[], None]
+
+
+@dataclass(slots=True)
+class Record:
+    """Hold one object as stored: its version, what its writer put there, and its status."""
+
+    name: str
+    version: int
+    value: Any
+    status: Any = None
+
+
+@dataclass(slots=True)
+class Change:
+    """Hold the new state of an object, or that it is gone."""
+
+    record: Record
+    gone: bool = False
+
+
+class KindSource(Protocol):
+    """List and watch the objects of a kind."""
+
+    async def list_kind(self, kind: str) -> tuple[int, list[Record]]:
+        """Return the store's revision and every object; raise StoreError."""
+
+    async def watch_kind(self, kind: str, position: int, wait_s: float) -> tuple[int, list[Change]]:
+        """Wait for changes after a revision; raise StoreError, StoreHistoryGoneError."""
+
+
+class Mirror:
+    """Hold the newest known objects of a kind, and how far in the store's history they reach."""
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self.records: dict[str, Record] = {}
+        self.position = 0
+        self.loaded = False
+        self.listeners: list[Listener] = []
+
+    def subscribe(self, listener: Listener) -> Callable[[], None]:
+        """Call the listener after each change; return the unsubscribe function."""
+        self.listeners.append(listener)
+        return lambda: self.listeners.remove(listener)
+
+    def replace(self, position: int, records: list[Record]) -> bool:
+        """Take a whole listing unless it is older than what is known; tell whether it was taken."""
+        if self.loaded and position < self.position:
+            return False
+        before = self.records
+        self.records = {record.name: record for record in records}
+        for name, record in before.items():
+            newer = self.records.get(name)
+            if newer is not None and newer.version < record.version:
+                self.records[name] = record
+        changed = not self.loaded or before != self.records
+        self.position, self.loaded = position, True
+        if changed:
+            self._notify()
+        return True
+
+    def apply(self, position: int, changes: list[Change]) -> None:
+        """Take the changes of a watch, in their order."""
+        for change in changes:
+            known = self.records.get(change.record.name)
+            if known is not None and known.version > change.record.version:
+                continue
+            if change.gone:
+                self.records.pop(change.record.name, None)
+            else:
+                self.records[change.record.name] = change.record
+        self.position = max(self.position, position)
+        if changes:
+            self._notify()
+
+    def put(self, record: Record) -> None:
+        """Take one object that this daemon has just written or read."""
+        known = self.records.get(record.name)
+        if known is None or known.version < record.version:
+            self.records[record.name] = record
+            self._notify()
+
+    def encode(self) -> bytes:
+        """Return every object as bytes for a peer."""
+        rows = [(r.name, r.version, r.value, r.status) for r in self.records.values()]
+        return orjson.dumps(rows)
+
+    @staticmethod
+    def decode(data: bytes) -> list[Record]:
+        """Read what `encode` returned."""
+        return [Record(*row) for row in orjson.loads(data)]
+
+    def _notify(self) -> None:
+        for listener in list(self.listeners):
+            listener()
+
+
+class MirrorFollower:
+    """Keep a mirror up to date by listing and watching; a lost watch is opened again."""
+
+    def __init__(
+        self,
+        mirror: Mirror,
+        source: KindSource,
+        clock: Callable[[], float],
+        wait_s: float = WATCH_WAIT_S,
+    ) -> None:
+        self.wait_s = wait_s
+        self.mirror = mirror
+        self.source = source
+        self.clock = clock
+        self.reached = False
+        self.must_list = True
+        self._scope: anyio.CancelScope | None = None
+        self._ahead_since: float | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            with anyio.CancelScope() as self._scope:
+                try:
+                    await self._step()
+                    self._note(True)
+                except StoreHistoryGoneError:
+                    self.must_list = True
+                except StoreError as error:
+                    self._note(False, str(error))
+                    await anyio.sleep(WATCH_RETRY_S)
+
+    async def _step(self) -> None:
+        mirror = self.mirror
+        if self.must_list:
+            position, records = await self.source.list_kind(mirror.kind)
+            mirror.replace(position, records)
+            self.must_list = False
+            return
+        position, changes = await self.source.watch_kind(mirror.kind, mirror.position, self.wait_s)
+        mirror.apply(position, changes)
+
+    def note_peer(self, position: int) -> bool:
+        """Compare with a peer's position; tell whether the peer has known more for a while.
+
+        The watch in progress is then opened anew, since it may have gone silent.
+        """
+        if position <= self.mirror.position:
+            self._ahead_since = None
+            return False
+        now = self.clock()
+        if self._ahead_since is None:
+            self._ahead_since = now
+            return False
+        if now - self._ahead_since < WATCH_BEHIND_S:
+            return False
+        self._ahead_since = None
+        if self._scope is not None:
+            self._scope.cancel()
+        return True
+
+    def _note(self, reached: bool, reason: str = "") -> None:
+        if reached != self.reached:
+            log_message(
+                message_type="mirror:followed" if reached else "mirror:lost",
+                kind=self.mirror.kind,
+                position=self.mirror.position,
+                reason=reason,
+            )
+        self.reached = reached
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -175,6 +175,59 @@
   4: list<UsageSlot> slots,
 }
 
+// Asks whether a daemon is alive and tells how far the sender's views have come.
+struct Ping {
+  1: string daemon,
+  2: string address,
+  3: string data_centre,
+  4: string role,
+  5: map<string, i64> positions,
+  6: bool store_reached,
+}
+
+struct FetchView {
+  1: string kind,
+}
+
+struct ViewData {
+  1: i64 position,
+  2: binary records,
+}
+
+// Passes on a call to the object store for a host that the store turns away.
+struct StoreCall {
+  1: string method,
+  2: string target,
+  3: binary body,
+  4: i32 timeout_ms,
+}
+
+struct StoreAnswer {
+  1: i32 status,
+  2: binary body,
+}
+
+struct ReadBatch {
+  1: string batch,
+  2: i32 after,
+  3: i32 wait_ms,
+}
+
+struct BatchResults {
+  1: i32 total,
+  2: i32 next_position,
+  3: binary results,
+}
+
+struct CollectUsage {
+  1: i64 first_window,
+}
+
+struct CollectedUsage {
+  1: string incarnation,
+  2: map<i64, map<string, i32>> counts,
+}
+
 struct Done {
 }
 
@@ -207,6 +260,15 @@
   19: optional UsageCopies usage_copies,
   20: optional Done done,
   21: optional Failed failed,
+  22: optional Ping ping,
+  23: optional FetchView fetch_view,
+  24: optional ViewData view_data,
+  25: optional StoreCall store_call,
+  26: optional StoreAnswer store_answer,
+  27: optional ReadBatch read_batch,
+  28: optional BatchResults batch_results,
+  29: optional CollectUsage collect_usage,
+  30: optional CollectedUsage collected_usage,
 }
 
 // What a trainer carries from pull to pull.
--- /dev/null
+++ b/acaciarill/platform/__init__.py
@@ -0,0 +1,5 @@
+"""Run the product on the users' platform: translation of its settings, names and calls."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/acaciarill/platform/_settings.py
@@ -0,0 +1,73 @@
+"""Read the settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ..errors import ConfigError, ConfigFault
+from .const import SETTINGS_PATH, SETTINGS_VARIABLE
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """Hold what one process needs to know; addresses are `ip:port`, times are in seconds."""
+
+    host: str
+    ip: str
+    data_centre: str
+    serves_callers: bool
+    callers: str
+    readiness: str
+    peers: str
+    seeds: tuple[str, ...]
+    store: str
+    duty_api: str
+    drain_s: float
+    usage_window_s: float
+    batch_kept_s: float
+    metrics_port: int
+    data_centres: tuple[str, ...] = field(default=())
+
+
+def settings_path() -> Path:
+    """Return where the platform puts the settings."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH))
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Read and check the settings; raise ConfigError naming the field at fault."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError([ConfigFault(str(path), "", "", str(error))]) from error
+    try:
+        return _read(raw)
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise ConfigError([ConfigFault(str(path), "", str(error), "missing or wrong")]) from error
+
+
+def _read(raw: dict[str, Any]) -> PlatformSettings:
+    listen = raw.get("listen", {})
+    bounds = raw["bounds"]
+    first_port, last_port = raw["port_range"]
+    ip = raw["ip"]
+    # Ports are the same on all machines, so the first free one serves where no address is given.
+    return PlatformSettings(
+        host=raw["node"],
+        ip=ip,
+        data_centre=raw["zone"],
+        serves_callers="front" in listen,
+        callers=listen.get("front", ""),
+        readiness=listen.get("ready", ""),
+        peers=f"{ip}:{first_port}",
+        seeds=tuple(f"{seed.rpartition(':')[0]}:{first_port}" for seed in raw.get("seeds", [])),
+        store=raw["provider"]["address"],
+        duty_api=raw.get("cloud", {}).get("address", ""),
+        drain_s=float(bounds["grace_s"]),
+        usage_window_s=float(bounds.get("report_window_s", 5)),
+        batch_kept_s=float(bounds.get("status_s", 120)),
+        metrics_port=int(last_port),
+        data_centres=tuple(raw.get("zones", {})),
+    )
