--- a/acaciarill/batches/__init__.py
+++ b/acaciarill/batches/__init__.py
@@ -3,8 +3,8 @@
 from ._book import BatchBook, BatchPorts, NotFoundError
 from ._log import ResultLog
 from ._model import BatchHead, Item, Page, Result, ScoreCall, StreamEvent, Submission
-from ._runner import BatchRunner, RunnerPorts
-from ._scheduler import EngineScheduler, Place
+from ._runner import BatchRunner, RunnerPorts, wanted_groups
+from ._scheduler import EngineScheduler, Place, Run
 
 __all__ = [
     "BatchBook",
@@ -17,6 +17,8 @@
     "Page",
     "Place",
     "Result",
+    "Run",
+    "wanted_groups",
     "ResultLog",
     "RunnerPorts",
     "ScoreCall",
--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -26,6 +26,7 @@
     body: bytes
     tokens: int
     group: str
+    expected_tokens: int = 0
     score: ScoreCall | None = None
 
 
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -19,7 +19,7 @@
 )
 from ._log import ResultLog
 from ._model import BatchHead, Item, Result, ScoreCall, StreamEvent, Submission
-from ._scheduler import EngineScheduler, Place
+from ._scheduler import EngineScheduler, Place, Run
 from .const import (
     APPEND_LINGER_S,
     FAILED_PAUSE_S,
@@ -27,7 +27,6 @@
     REQUEST_ID_PLACE,
     SCORE_RETRY_S,
     SCORE_TIMEOUT_S,
-    STALL_S,
     STATE_COMPLETED,
     STATE_FAILED,
 )
@@ -65,6 +64,15 @@
         self.last_id = event.id
 
 
+def wanted_groups(submission: Submission) -> set[str]:
+    """Return the groups to finish first: those whose longest text is expected to be shortest."""
+    longest: dict[str, int] = {}
+    for item in submission.items:
+        longest[item.group] = max(longest.get(item.group, 0), item.expected_tokens)
+    count = submission.desired or len(longest)
+    return set(sorted(longest, key=lambda group: longest[group])[:count])
+
+
 class _Impossible(Exception):
     """Tell that an item can never be done."""
 
@@ -98,11 +106,11 @@
             self.unfinished = len(pending)
             if not pending:
                 return
-            order = {name: i for i, name in enumerate(dict.fromkeys(i.group for i in pending))}
+            wanted = wanted_groups(self.submission)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._append_results)
                 for item in pending:
-                    tasks.start_soon(self._run_item, item, order[item.group])
+                    tasks.start_soon(self._run_item, item, item.group in wanted)
             log_message(
                 message_type="batch:finished", batch=self.batch_id, listed=len(self.log.results)
             )
@@ -130,11 +138,11 @@
             await self.log.append(ready)
             self.unfinished -= len(ready)
 
-    async def _run_item(self, item: Item, group_order: int) -> None:
+    async def _run_item(self, item: Item, wanted: bool) -> None:
         text = _Text()
         result = Result(item.id, STATE_FAILED)
         try:
-            if await self._generate(item, group_order, text):
+            if await self._generate(item, wanted, text):
                 score = await self._score(item.score) if item.score is not None else None
                 result = Result(
                     item.id,
@@ -153,7 +161,7 @@
         self.ready.append(result)
         self.wakeup.set()
 
-    async def _generate(self, item: Item, group_order: int, text: _Text) -> bool:
+    async def _generate(self, item: Item, wanted: bool, text: _Text) -> bool:
         """Generate the whole text, resuming on other engines; False when it was given up."""
         failures = 0
         avoid = ""
@@ -163,7 +171,7 @@
                 raise _Impossible("the route is gone")
             if self._given_up(route):
                 raise _Impossible("it waited too long")
-            place = self._place(item, group_order, route, text, avoid)
+            place = self._place(item, wanted, route, text, avoid)
             started = self.ports.clock()
             async with self.ports.scheduler.place(place) as state:
                 waited = self.ports.clock() - started
@@ -173,7 +181,7 @@
                 batch=self.batch_id,
                 request=item.id,
                 upstream=state.upstream.id,
-                version=state.upstream.versions.get(self.submission.model),
+                version=state.version(self.submission.model),
                 status=status,
                 reason=reason,
                 last_event=text.last_id,
@@ -191,14 +199,14 @@
             avoid = state.upstream.id
             await anyio.sleep(FULL_PAUSE_S if reason == "not run" else FAILED_PAUSE_S)
 
-    def _place(self, item: Item, group_order: int, route: Route, text: _Text, avoid: str) -> Place:
+    def _place(self, item: Item, wanted: bool, route: Route, text: _Text, avoid: str) -> Place:
         deadline = self.head.submitted_at + route.result_deadline_s
         exact = text.versions[0] if route.single_version and text.versions else None
         return Place(
             route.service(0.0),
             self.submission.model,
             self.submission.min_version,
-            (deadline, float(group_order)),
+            (float(not wanted), deadline, -float(item.expected_tokens)),
             item.group,
             exact,
             avoid,
@@ -217,54 +225,67 @@
         )
         own = [(b"Host", self.head.host.encode()), *item.headers]
         headers = ports.codec.encode([*own, (REQUEST_ID_PLACE, item.id.encode())], attempt)
-        status = 0
+        place = self._place(item, True, route, text, state.upstream.id)
+        run = Run(place, state, ports.clock())
+        ports.scheduler.runs.append(run)
         try:
-            with anyio.CancelScope() as scope:
-                scope.deadline = anyio.current_time() + STALL_S
-                async with ports.pool.exchange(
-                    state.upstream.address,
-                    "POST",
-                    item.path,
-                    headers,
-                    item.body,
-                    lifetime=state.upstream.lifetime,
-                ) as exchange:
-                    head = await exchange.read_head()
-                    status = head.status
-                    facts = ports.codec.decode(head)
-                    if facts.load is not None:
-                        state.note_report(facts.load, ports.clock())
-                    if status != STATUS_OK:
-                        await exchange.read_body()
-                        if facts.not_run:
-                            state.note_full(ports.clock())
-                            return status, "not run"
-                        return status, "failed"
-                    if facts.request_id != item.id:
-                        return status, "the answer is not to this request"
-                    version = facts.weight_version
-                    if version is None:
-                        return status, "no weight version"
-                    read = ports.event_reader()
-                    async for chunk in exchange.chunks():
-                        for event in read(chunk):
-                            scope.deadline = anyio.current_time() + STALL_S
-                            version = version if event.version is None else event.version
-                            if not self._fits(route, text, version):
-                                return status, "the weight version does not fit"
-                            if text.last_id is not None and event.id != text.last_id + 1:
-                                return status, "an event is missing"
-                            text.take(event, version)
-            if scope.cancelled_caught:
-                state.note_failure(ports.clock())
-                ports.pool.forget(state.upstream.address)
-                return status, "no event in time"
+            with run.scope:
+                return await self._stream(item, route, text, run, headers)
+            return 0, run.stopped
         except UpstreamError as error:
             state.note_failure(ports.clock())
             ports.pool.forget(state.upstream.address)
-            return status, error.message
+            return 0, error.message
+        finally:
+            ports.scheduler.runs.remove(run)
+
+    async def _stream(
+        self,
+        item: Item,
+        route: Route,
+        text: _Text,
+        run: Run,
+        headers: list[tuple[bytes, bytes]],
+    ) -> tuple[int, str]:
+        ports, state = self.ports, run.state
+        async with ports.pool.exchange(
+            state.upstream.address,
+            "POST",
+            item.path,
+            headers,
+            item.body,
+            lifetime=state.upstream.lifetime,
+        ) as exchange:
+            head = await exchange.read_head()
+            facts = ports.codec.decode(head)
+            if facts.load is not None:
+                state.note_report(facts.load, ports.clock())
+            if head.status != STATUS_OK:
+                await exchange.read_body()
+                if facts.not_run:
+                    state.note_full(ports.clock())
+                    return head.status, "not run"
+                return head.status, "failed"
+            if facts.request_id != item.id:
+                return head.status, "the answer is not to this request"
+            version = facts.weight_version
+            if version is None:
+                return head.status, "no weight version"
+            model = self.submission.model
+            upstream = state.upstream
+            ports.scheduler.table.observe_version(upstream.id, upstream.lifetime, model, version)
+            read = ports.event_reader()
+            async for chunk in exchange.chunks():
+                for event in read(chunk):
+                    version = version if event.version is None else event.version
+                    if not self._fits(route, text, version):
+                        return head.status, "the weight version does not fit"
+                    if text.last_id is not None and event.id != text.last_id + 1:
+                        return head.status, "an event is missing"
+                    text.take(event, version)
+                run.note_event(ports.clock())
         state.note_success()
-        return status, ""
+        return STATUS_OK, ""
 
     def _fits(self, route: Route, text: _Text, version: int) -> bool:
         """Tell whether an event of this version may join the text; else starts the text anew."""
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -7,6 +7,8 @@
 import anyio
 
 from ..fleet import UpstreamState, UpstreamTable
+from ..fleet.const import SLOW_FACTOR
+from .const import RESUME_AFTER_S, SLOW_AFTER_EVENTS, STALL_S
 
 
 @dataclass(slots=True)
@@ -26,6 +28,25 @@
     avoid: str = ""
 
 
+@dataclass(slots=True)
+class Run:
+    """Hold one stream in progress; `stopped` says why it is to go on elsewhere."""
+
+    place: Place
+    state: UpstreamState
+    last_event_at: float
+    events: int = 0
+    stopped: str = ""
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    def note_event(self, now: float) -> None:
+        """Take one event into the engine's pace."""
+        if self.events:
+            self.state.note_pause(now - self.last_event_at, now)
+        self.events += 1
+        self.last_event_at = now
+
+
 @dataclass(slots=True)
 class _Waiter:
     place: Place
@@ -34,12 +55,13 @@
 
 
 class EngineScheduler:
-    """Hand out slots of engines to waiting items."""
+    """Hand out slots of engines to waiting items, and move items off engines that fail them."""
 
     def __init__(self, table: UpstreamTable, clock: Callable[[], float]) -> None:
         self.table = table
         self.clock = clock
         self.waiters: list[_Waiter] = []
+        self.runs: list[Run] = []
         self.group_places: dict[str, str] = {}
         table.subscribe(self.hand_out)
 
@@ -75,6 +97,42 @@
             self.waiters.remove(waiter)
             waiter.ready.set()
 
+    def check_runs(self) -> None:
+        """Stop streams that are silent or slow while another engine has room for them."""
+        now = self.clock()
+        for run in list(self.runs):
+            if run.stopped:
+                continue
+            silent_s = now - run.last_event_at
+            if silent_s >= STALL_S:
+                run.stopped = "no event in time"
+            elif silent_s >= RESUME_AFTER_S and self._other(run, now) is not None:
+                run.stopped = "no event for a while"
+            elif run.events >= SLOW_AFTER_EVENTS and self._slower(run, now):
+                run.stopped = "slow engine"
+            if run.stopped:
+                if run.stopped != "slow engine":
+                    run.state.note_failure(now)
+                run.scope.cancel()
+
+    def _other(self, run: Run, now: float) -> UpstreamState | None:
+        found = self._choose(run.place, now)
+        return None if found is run.state else found
+
+    def _slower(self, run: Run, now: float) -> bool:
+        other = self._other(run, now)
+        if other is None or not self._is_slow(run.state, run.place, now):
+            return False
+        return not self._is_slow(other, run.place, now)
+
+    def _is_slow(self, state: UpstreamState, place: Place, now: float) -> bool:
+        """Tell whether the engine's events take much longer than those of the fastest engine."""
+        own = state.pace(now)
+        if own is None:
+            return False
+        paces = [pace for other in self.table.of(place.service) if (pace := other.pace(now))]
+        return own > SLOW_FACTOR * min(paces, default=own)
+
     def _choose(self, place: Place, now: float) -> UpstreamState | None:
         """Return an engine with a free slot, the one that has read the group's prompt if it can."""
         states = [
@@ -82,7 +140,6 @@
             for state in self.table.of(place.service)
             if state.usable(now)
             and state.full_until <= now
-            and state.loading_until <= now
             and state.free_slots(now) > 0
             and _version_fits(place, state)
         ]
@@ -93,6 +150,7 @@
         return min(
             others,
             key=lambda state: (
+                self._is_slow(state, place, now),
                 state.upstream.id != known,
                 state.load(now),
                 state.upstream.data_centre != self.table.data_centre,
@@ -101,7 +159,7 @@
 
 
 def _version_fits(place: Place, state: UpstreamState) -> bool:
-    version = state.upstream.versions.get(place.model)
+    version = state.version(place.model)
     if version is None:
         return False
     if place.exact_version is not None:
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -22,6 +22,10 @@
 
 STALL_S = 2.5
 """A stream without an event for so long is resumed elsewhere; a change of weights takes 0.9 s."""
+RESUME_AFTER_S = 0.7
+"""A stream that is silent for so long is resumed on another engine if one has room: events come
+every 40 ms, reading a prompt again takes some ms, a change of weights stops them for 0.9 s."""
+SLOW_AFTER_EVENTS = 6
 FULL_PAUSE_S = 0.1
 FAILED_PAUSE_S = 0.2
 SCORE_TIMEOUT_S = 3.0
--- a/acaciarill/control/_scale.py
+++ b/acaciarill/control/_scale.py
@@ -10,8 +10,9 @@
 from ..fleet import Configuration, Scaling
 from ..leases import Lease
 
-WAVES = 1.5
-"""How many times over the slots of a service may be asked for before it grows."""
+WAVES = 0.75
+"""Share of the slots of a service that may be asked for before it grows: a step waits for its
+longest text, so each item should start at once, and a lost step costs more than an upstream."""
 CALM_S = 25.0
 """A service shrinks when a smaller one would have done for so long; a step takes 4 to 12 s."""
 ORDER_AGAIN_S = 5.0
--- a/acaciarill/control/_weights.py
+++ b/acaciarill/control/_weights.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 import anyio
+import anyio.abc
 from eliot import log_message
 
 from ..errors import AcaciarillError
@@ -23,6 +24,10 @@
 """A step takes tokens of the version before the one that was named for it, as the sheets say."""
 IDLE_LOAD_AFTER_S = 0.6
 """An engine that is still usable is not loaded right after a naming, when the step arrives."""
+LOAD_S = 0.95
+"""How long a load takes when no more run than the site allows."""
+LOAD_CHECK_S = 0.15
+LOAD_WAIT_S = 3.0
 REBALANCE_GAP = 2
 """Engines change their home only when one model has so many more than another."""
 
@@ -39,6 +44,10 @@
 
 SendOrder = Callable[[UpstreamState, str, int, bool, Lease], Awaitable[OrderOutcome]]
 """Order an engine to load a version of a model, only if it is idle where so said."""
+ReadVersion = Callable[[UpstreamState, str], Awaitable[int | None]]
+"""Ask an engine for the version of a model that it holds."""
+Announce = Callable[[str, str, str, int], Awaitable[None]]
+"""Tell every daemon the version of a model that a lifetime of an engine holds."""
 
 
 @dataclass(slots=True)
@@ -96,10 +105,15 @@
 
 
 def _behind(state: UpstreamState, model: str, named: dict[str, int]) -> int:
-    version = state.upstream.versions.get(model, 0)
+    version = state.version(model) or 0
     return max(0, named.get(model, version) - version)
 
 
+def _behind_home(state: UpstreamState, homes: dict[str, str], named: dict[str, int]) -> int:
+    home = homes.get(state.upstream.id)
+    return 0 if home is None else _behind(state, home, named)
+
+
 def choose_loads(
     states: list[UpstreamState],
     homes: dict[str, str],
@@ -109,19 +123,31 @@
     now: float,
     at_once: int = LOADS_AT_ONCE,
 ) -> list[Load]:
-    """Return the loads to order now: engines that open steps cannot use first, then idle ones."""
+    """Return the loads to order now.
+
+    Engines that open steps cannot use go first. Of the others, half of each model's engines go at
+    once, so that never all of them fall two versions behind together; the rest when they are idle.
+    """
     busy = [state for state in states if _is_loading(state, loading, now)]
     busy_homes = Counter(homes.get(state.upstream.id, "") for state in busy)
+    newest = Counter(
+        home
+        for state in states
+        if (home := homes.get(state.upstream.id))
+        and (state in busy or not _behind(state, home, named))
+    )
+    total = Counter(homes[state.upstream.id] for state in states if state.upstream.id in homes)
     loads: list[Load] = []
-    for state in states:
+    for state in sorted(states, key=lambda state: -_behind_home(state, homes, named)):
         model = homes.get(state.upstream.id)
         if model is None or state in busy or state.leaving or state.upstream.draining:
             continue
         behind = _behind(state, model, named)
-        if behind > USABLE_LAG:
-            loads.append(Load(state, model, named[model], True))
         rested = now - named_at.get(model, 0.0) >= IDLE_LOAD_AFTER_S
-        if behind == USABLE_LAG and rested and not busy_homes[model]:
+        if behind > USABLE_LAG or (behind and newest[model] < total[model] // 2):
+            newest[model] += 1
+            loads.append(Load(state, model, named[model], True))
+        elif behind and rested and not busy_homes[model]:
             busy_homes[model] += 1
             loads.append(Load(state, model, named[model], False))
     loads.sort(key=lambda load: (not load.urgent, -_behind(load.state, load.model, named)))
@@ -132,7 +158,7 @@
     order = loading.get(state.upstream.id)
     if order is None or order.until <= now:
         return False
-    return state.upstream.versions.get(order.model, order.version) < order.version
+    return (state.version(order.model) or order.version) < order.version
 
 
 class WeightsDuty:
@@ -143,8 +169,14 @@
         table: UpstreamTable,
         named: Callable[[], dict[str, int]],
         send: SendOrder,
+        read: ReadVersion,
+        announce: Announce,
+        task_group: anyio.abc.TaskGroup,
         clock: Callable[[], float],
     ) -> None:
+        self.read = read
+        self.announce = announce
+        self.task_group = task_group
         self.table = table
         self.named = named
         self.send = send
@@ -182,6 +214,7 @@
                 step=str(error.step),
                 reason=error.message,
             )
+            self.loading.pop(upstream.id, None)  # the next one voids what may still be carried out
             return
         if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
             self.loading.pop(upstream.id, None)
@@ -198,3 +231,23 @@
             outcome=str(outcome),
             epoch=lease.epoch,
         )
+        self.task_group.start_soon(self._follow_load, load)
+
+    async def _follow_load(self, load: Load) -> None:
+        """Tell the other daemons when a load is done: the engine's entry says so a second later."""
+        upstream = load.state.upstream
+        await anyio.sleep(LOAD_S)
+        until = self.clock() + LOAD_WAIT_S
+        while self.clock() < until:
+            try:
+                version = await self.read(load.state, load.model)
+            except AcaciarillError as error:
+                log_message(
+                    message_type="weights:not_read", upstream=upstream.id, reason=error.message
+                )
+                return
+            if version is not None and version >= load.version:
+                self.table.observe_version(upstream.id, upstream.lifetime, load.model, version)
+                await self.announce(upstream.id, upstream.lifetime, load.model, version)
+                return
+            await anyio.sleep(LOAD_CHECK_S)
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -2,12 +2,20 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from eliot import log_message
 
 from ._model import LoadReport, Upstream
-from .const import EJECT_MAX_S, EJECT_S, FULL_BACK_OFF_S, LOAD_REPORT_KEPT_S
+from .const import (
+    EJECT_MAX_S,
+    EJECT_S,
+    FULL_BACK_OFF_S,
+    LOAD_REPORT_KEPT_S,
+    PACE_KEPT_S,
+    PACE_OUTLIER_S,
+    PACE_WEIGHT,
+)
 
 
 @dataclass(slots=True)
@@ -22,7 +30,9 @@
     failures: int = 0
     full_until: float = 0.0
     leaving: bool = False
-    loading_until: float = 0.0
+    pace_s: float = 0.0
+    paced_at: float = 0.0
+    observed: dict[str, int] = field(default_factory=dict)
 
     def load(self, now: float) -> float:
         """Return the requests running or waiting there, for each slot."""
@@ -43,6 +53,25 @@
         self.others = max(0, report.running + report.waiting - self.in_flight)
         self.reported_at = now
 
+    def version(self, model: str) -> int | None:
+        """Return the newest version of a model that this lifetime is known to hold."""
+        listed = self.upstream.versions.get(model)
+        seen = self.observed.get(model)
+        return listed if seen is None or listed is None else max(listed, seen)
+
+    def note_pause(self, pause_s: float, now: float) -> None:
+        """Take the time between two events of a stream into the engine's pace."""
+        if pause_s > PACE_OUTLIER_S:
+            return
+        if now - self.paced_at > PACE_KEPT_S:
+            self.pace_s = pause_s
+        self.pace_s += PACE_WEIGHT * (pause_s - self.pace_s)
+        self.paced_at = now
+
+    def pace(self, now: float) -> float | None:
+        """Return the seconds between events, None where none came lately."""
+        return self.pace_s if now - self.paced_at <= PACE_KEPT_S else None
+
     def note_success(self) -> None:
         """Forget earlier failures."""
         self.failures = 0
@@ -111,6 +140,15 @@
         """Return the upstreams of a service."""
         return self.by_service.get(service, [])
 
+    def observe_version(self, name: str, lifetime: str, model: str, version: int) -> None:
+        """Take a version that an engine was seen to hold before its entry says so."""
+        state = self.states.get(name)
+        if state is None or state.upstream.lifetime != lifetime:
+            return
+        if version > (state.version(model) or 0):
+            state.observed[model] = version
+            self.changed()
+
     def choose(self, service: str, excluded: Collection[str] = ()) -> UpstreamState | None:
         """Return the upstream for the next plain request; None if there is none at all."""
         now = self.clock()
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -10,6 +10,14 @@
 """How long an upstream that said it was full is passed over while others have room."""
 LOAD_REPORT_KEPT_S = 1.0
 """An upstream's own load figures are believed for so long; its load changes within a second."""
+PACE_WEIGHT = 0.2
+"""Share of the newest pause in an engine's running mean; some ten events settle it."""
+PACE_KEPT_S = 4.0
+"""An engine that was slow is tried again after so long; slow spells last 5 to 8 s."""
+PACE_OUTLIER_S = 0.4
+"""Longer pauses are loads or losses, not the pace of generation."""
+SLOW_FACTOR = 1.7
+"""An engine is slow when its events take so many times as long as those of the fastest one."""
 RETRY_PAUSE_S = 0.03
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_SPREAD_S = 0.3
@@ -39,7 +47,8 @@
 """A window is summed so long after its end; all daemons answer polls within this time."""
 USAGE_KEEP_WINDOWS = 8
 WEIGHTS_PERIOD_S = 0.2
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.4
+"""Engines answer within ms; an order without an answer is sent again, made safe by its condition."""
 ORDER_RETRY_S = 2.0
 SCALE_PERIOD_S = 1.0
 RETIRE_PERIOD_S = 0.5
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -13,6 +13,7 @@
 from ..batches.const import KIND_HEADS, POLL_PERIOD_S
 from ..control import (
     FleetDemand,
+    ReadVersion,
     RetireDuty,
     RunCounter,
     ScaleDuty,
@@ -124,6 +125,7 @@
     report_usage: Callable[[int, dict[str, int], Lease], Awaitable[bool]]
     order_count: Callable[[str, str, int, Lease], Awaitable[bool]]
     order_version: SendOrder
+    read_version: ReadVersion
 
 
 class FleetDaemon:
@@ -235,6 +237,7 @@
             ),
         )
         self.peers.book = self.book
+        self.peers.table = self.table
         self.front: EdgeServer | None = None
         if self.settings.callers:
             handler = self.ports.front(self)
@@ -256,7 +259,13 @@
             lambda: self.configuration, self._present, self._demand, calls.order_count, self.clock
         )
         self.weights = WeightsDuty(
-            self.table, lambda: self.named_versions, calls.order_version, self.clock
+            self.table,
+            lambda: self.named_versions,
+            calls.order_version,
+            calls.read_version,
+            self.peers.announce_version,
+            self.task_group,
+            self.clock,
         )
         self.retire = RetireDuty(
             self.settings.host,
@@ -408,6 +417,7 @@
 
     async def _hand_out(self) -> None:
         self.scheduler.hand_out()
+        self.scheduler.check_runs()
 
     async def _sweep(self) -> None:
         self.pool.close_expired()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -11,7 +11,7 @@
 from ..batches import BatchBook, Page, Result
 from ..control import RunCounter
 from ..errors import Outcome, PeerError, Step
-from ..fleet import ROLE_FRONT, Members, StoreChannel
+from ..fleet import ROLE_FRONT, Members, StoreChannel, UpstreamTable
 from ..fleet.const import PING_TIMEOUT_S
 from ..mirrors import Mirror, MirrorFollower
 from ..peers import PeerLinks, PeerServer, messages
@@ -44,6 +44,7 @@
         self.chance = chance
         self.incarnation = f"{members.name}.{uuid4().hex[:8]}"
         self.book: BatchBook | None = None
+        self.table: UpstreamTable | None = None
         self.fetching: set[str] = set()
         own = members.own
         greeting = messages.Greeting(
@@ -61,6 +62,7 @@
             "store_call": self._on_store_call,
             "read_batch": self._on_read_batch,
             "collect_usage": self._on_collect_usage,
+            "version_seen": self._on_version_seen,
         }
 
     # Membership and views
@@ -205,6 +207,32 @@
         found = messages.BatchResults(total=page.total, next_position=page.next, results=rows)
         return {"batch_results": found}
 
+    # Weights
+
+    async def announce_version(
+        self, upstream: str, lifetime: str, model: str, version: int
+    ) -> None:
+        """Tell every daemon the version that an engine was seen to hold."""
+        call = messages.VersionSeen(
+            upstream=upstream, lifetime=lifetime, model=model, version=version
+        )
+
+        async def tell(address: str) -> None:
+            try:
+                await self.links.call(address, PING_TIMEOUT_S, version_seen=call)
+            except PeerError as error:
+                log_message(message_type="weights:not_told", peer=address, reason=error.message)
+
+        async with anyio.create_task_group() as tells:
+            for member in list(self.members.members.values()):
+                if member is not self.members.own and not self.members.dead(member.name):
+                    tells.start_soon(tell, member.address)
+
+    async def _on_version_seen(self, call: messages.VersionSeen) -> dict[str, messages.Done]:
+        if self.table is not None:
+            self.table.observe_version(call.upstream, call.lifetime, call.model, call.version)
+        return {"done": messages.Done()}
+
     # Usage
 
     async def collect_usage(self, window: int) -> dict[str, dict[int, dict[str, int]]]:
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -228,6 +228,14 @@
   2: map<i64, map<string, i32>> counts,
 }
 
+// Tells the version of a model that a lifetime of an engine was seen to hold.
+struct VersionSeen {
+  1: string upstream,
+  2: string lifetime,
+  3: string model,
+  4: i32 version,
+}
+
 struct Done {
 }
 
@@ -269,6 +277,7 @@
   28: optional BatchResults batch_results,
   29: optional CollectUsage collect_usage,
   30: optional CollectedUsage collected_usage,
+  31: optional VersionSeen version_seen,
 }
 
 // What a trainer carries from pull to pull.
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -22,7 +22,14 @@
     order_routes,
 )
 from ..mirrors import Record
-from .const import CONFIG_NAME, HEADER_VERSIONS, RESULT_ERRORED, STATE_DRAINING, STATE_READY
+from .const import (
+    CONFIG_NAME,
+    HEADER_LENGTH_HINT,
+    HEADER_VERSIONS,
+    RESULT_ERRORED,
+    STATE_DRAINING,
+    STATE_READY,
+)
 
 MS_PER_S = 1000
 ROUTE_KINDS = {
@@ -196,6 +203,7 @@
         body=base64.b64decode(value.get("body") or ""),
         tokens=int(value.get("tokens", 0)),
         group=str(value.get("group", value["id"])),
+        expected_tokens=_hint(value.get("headers") or {}),
         score=(
             None
             if score is None
@@ -206,6 +214,14 @@
     )
 
 
+def _hint(headers: dict[str, str]) -> int:
+    """Return the requester's estimate of the output tokens, 0 where there is none."""
+    for name, text in headers.items():
+        if name.lower() == HEADER_LENGTH_HINT and text.isdigit():
+            return int(text)
+    return 0
+
+
 def encode_page(page: Page) -> bytes:
     """Return a page of results as its reader expects it."""
     results = []
--- a/acaciarill/platform/_duties.py
+++ b/acaciarill/platform/_duties.py
@@ -1,6 +1,7 @@
 """Send the calls of singleton duties to the platform and orders to its replicas."""
 
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import orjson
@@ -41,10 +42,15 @@
         body = orjson.dumps({"service": service, "zone": data_centre, "desired": count})
         return (await self._post(self.address, "/scale", body, lease)).head.status == 200
 
-    async def order_version(
-        self, state: UpstreamState, model: str, version: int, only_idle: bool, lease: Lease
-    ) -> OrderOutcome:
-        """Order a replica to load a version unless it has taken another order meanwhile."""
+    async def read_version(self, state: UpstreamState, model: str) -> int | None:
+        """Return the version of a model that a replica reports; raise UpstreamError."""
+        facts = await self._report(state)
+        for held in facts.get("models") or []:
+            if held.get("name") == model:
+                return held.get("version")
+        return None
+
+    async def _report(self, state: UpstreamState) -> dict[str, Any]:
         upstream = state.upstream
         expect = [(HEADER_EXPECT_INSTANCE, upstream.id.encode())]
         try:
@@ -53,8 +59,19 @@
         except TimeoutError as error:
             raise UpstreamError("no report in time", step=Step.ORDER, peer=upstream.id) from error
         if report.head.status != 200:
-            return OrderOutcome.REFUSED
-        facts = orjson.loads(report.body)
+            raise UpstreamError("no report", step=Step.ORDER, peer=upstream.id)
+        try:
+            return orjson.loads(report.body)
+        except orjson.JSONDecodeError as error:
+            raise UpstreamError("malformed report", step=Step.ORDER, peer=upstream.id) from error
+
+    async def order_version(
+        self, state: UpstreamState, model: str, version: int, only_idle: bool, lease: Lease
+    ) -> OrderOutcome:
+        """Order a replica to load a version unless it has taken another order meanwhile."""
+        upstream = state.upstream
+        expect = [(HEADER_EXPECT_INSTANCE, upstream.id.encode())]
+        facts = await self._report(state)
         if facts.get("busy"):
             return OrderOutcome.BUSY
         if only_idle and (facts.get("running") or facts.get("waiting")):
