Give all batches of a trainer one owner, keep texts for groups that come again, shorten the lease

Cause: owners of one trainer's batches did not know of each other's requests, so items waited inside full engines (no first event for 0.7 s); a killed duty holder left the engines without orders for 5.7 s; a planned stop threw unfinished texts away. Ruled out: slots (10 to 12 engines, waits under 0.4 s otherwise).

--- a/acaciarill/batches/_book.py
+++ b/acaciarill/batches/_book.py
@@ -26,6 +26,7 @@
 from ._log import ObjectAccess, ResultLog
 from ._model import BatchHead, Page, Submission
 from ._runner import BatchRunner, RunnerPorts
+from ._texts import TextStore
 from .const import (
     ACCEPT_LIMIT_S,
     ACCEPT_RETRY_S,
@@ -52,6 +53,10 @@
 """Ask an owner by address for the results of a batch from a position on, waiting some seconds."""
 
 
+HandBatch = Callable[[str, str, Record, bytes, bytes], Awaitable[None]]
+"""Give the named owner a batch: its id, its head, what was submitted, and unfinished texts."""
+
+
 @dataclass(slots=True)
 class BatchPorts:
     """Hold what the book needs besides what its runners share."""
@@ -60,6 +65,7 @@
     members: Members
     decode: Callable[[bytes], Submission]
     read_at_owner: ReadAtOwner
+    hand_batch: HandBatch
     runner: RunnerPorts
     task_group: anyio.abc.TaskGroup
 
@@ -75,6 +81,7 @@
         self.claiming: set[str] = set()
         self.logs: OrderedDict[str, ResultLog] = OrderedDict()
         self.submissions: OrderedDict[str, Submission] = OrderedDict()
+        self.texts = TextStore()
         self.draining = False
         mirror.subscribe(self._follow_heads)
 
@@ -98,15 +105,43 @@
             total=len(submission.items),
             parts=len(parts),
             digest=digest,
-            owner="" if self.draining else self.name,
+            owner=self._choose_owner(customer, path),
         )
         with anyio.move_on_after(ACCEPT_LIMIT_S):
             for index, part in enumerate(parts):
                 await self._create(_part_key(batch_id, digest, index), orjson.dumps(part))
             await self._commit(batch_id, head, submission)
+            await self._hand(batch_id, body, b"[]")
             return
         raise StoreError("acceptance could not be settled", step=Step.STORE, status=504)
 
+    def _choose_owner(self, customer: str, path: str) -> str:
+        """Return one owner for all batches of a trainer, so that owners need not share engines."""
+        without = self.name if self.draining else ""
+        key = f"{customer}{path.rpartition('/')[0]}"
+        return self.ports.members.choose_owner(key, without)
+
+    async def _hand(self, batch_id: str, body: bytes, texts: bytes) -> None:
+        """Tell another owner at once; when that fails it finds the head by itself."""
+        record = self.mirror.records[batch_id]
+        owner = record.value["owner"]
+        if owner == self.name:
+            return
+        try:
+            await self.ports.hand_batch(owner, batch_id, record, body, texts)
+        except PeerError as error:
+            log_message(
+                message_type="batch:not_handed", batch=batch_id, owner=owner, reason=error.message
+            )
+
+    def take_batch(self, record: Record, body: bytes, texts: bytes) -> None:
+        """Take a batch that another daemon accepted for this one, or handed over."""
+        self._remember(self.submissions, record.name, self.ports.decode(body))
+        self.texts.decode(texts)
+        log_message(message_type="batch:handed", batch=record.name)
+        self.mirror.put(record)
+        self._follow_heads()
+
     async def _create(self, key: str, value: bytes) -> None:
         try:
             await self.ports.store.put(key, value, 0)
@@ -254,13 +289,7 @@
         known = self.submissions.get(batch_id)
         if known is not None:
             return known
-        parts = []
-        for index in range(head.parts):
-            found = await self.ports.store.get(_part_key(batch_id, head.digest, index))
-            if found is None:
-                raise StoreError("a part of the batch is missing", step=Step.STORE)
-            parts.append(orjson.loads(found[0]))
-        submission = self.ports.decode("".join(parts).encode())
+        submission = self.ports.decode(await self._body(batch_id, head))
         self._remember(self.submissions, batch_id, submission)
         return submission
 
@@ -291,7 +320,7 @@
 
     def _start(self, batch_id: str, head: BatchHead, submission: Submission) -> None:
         log = ResultLog(batch_id, self.ports.store)
-        runner = BatchRunner(batch_id, head, submission, log, self.ports.runner)
+        runner = BatchRunner(batch_id, head, submission, log, self.ports.runner, self.texts)
         self.runners[batch_id] = runner
         self.logs.pop(batch_id, None)
         self.ports.task_group.start_soon(self._run, batch_id, runner)
@@ -320,8 +349,6 @@
     def _is_heir(self, head: BatchHead) -> bool:
         if head.owner == self.name:
             return True  # an earlier process of this daemon owned it
-        if head.owner == "":
-            return self.ports.members.first_in_ring(head.digest) == self.name
         return self.ports.members.succeeds(head.owner)
 
     async def _claim(self, batch_id: str, record: Record, head: BatchHead) -> None:
@@ -369,7 +396,19 @@
                 continue
             if len(runner.log.results) >= head.total:
                 continue
-            await self._update(batch_id, record, replace(head, owner=""))
+            owner = self._choose_owner(head.customer, head.path)
+            if await self._update(batch_id, record, replace(head, owner=owner)):
+                texts = self.texts.encode(runner.submission.items)
+                await self._hand(batch_id, await self._body(batch_id, head), texts)
+
+    async def _body(self, batch_id: str, head: BatchHead) -> bytes:
+        parts = []
+        for index in range(head.parts):
+            found = await self.ports.store.get(_part_key(batch_id, head.digest, index))
+            if found is None:
+                raise StoreError("a part of the batch is missing", step=Step.STORE)
+            parts.append(orjson.loads(found[0]))
+        return "".join(parts).encode()
 
 
 def _part_key(batch_id: str, digest: str, index: int) -> str:
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -1,7 +1,7 @@
 """Run the items of one owned batch and list their results."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 from eliot import log_message
@@ -20,6 +20,7 @@
 from ._log import ResultLog
 from ._model import BatchHead, Item, Result, ScoreCall, StreamEvent, Submission
 from ._scheduler import EngineScheduler, Place, Run
+from ._texts import Text, TextStore
 from .const import (
     APPEND_LINGER_S,
     FAILED_PAUSE_S,
@@ -49,21 +50,6 @@
     true_time: Callable[[], float]
 
 
-@dataclass(slots=True)
-class _Text:
-    """Hold what has been generated of one item."""
-
-    events: list[str] = field(default_factory=list)
-    last_id: int | None = None
-    versions: list[int] = field(default_factory=list)
-
-    def take(self, event: StreamEvent, version: int) -> None:
-        if version not in self.versions:
-            self.versions.append(version)
-        self.events.append(event.data)
-        self.last_id = event.id
-
-
 def wanted_groups(submission: Submission) -> set[str]:
     """Return the groups to finish first: those whose longest text is expected to be shortest."""
     longest: dict[str, int] = {}
@@ -87,7 +73,9 @@
         submission: Submission,
         log: ResultLog,
         ports: RunnerPorts,
+        texts: TextStore,
     ) -> None:
+        self.texts = texts
         self.batch_id = batch_id
         self.head = head
         self.submission = submission
@@ -139,7 +127,14 @@
             self.unfinished -= len(ready)
 
     async def _run_item(self, item: Item, wanted: bool) -> None:
-        text = _Text()
+        minimum, route = self.submission.min_version, self._route()
+        single = route is not None and route.single_version
+        known = self.texts.result(item, minimum, single)
+        if known is not None:
+            log_message(message_type="item:known", batch=self.batch_id, request=item.id)
+            self._finish(known)
+            return
+        text = self.texts.text(item, minimum, single)
         result = Result(item.id, STATE_FAILED)
         try:
             if await self._generate(item, wanted, text):
@@ -151,6 +146,7 @@
                     tuple(sorted(text.versions)),
                     score,
                 )
+                self.texts.keep_result(item, result)
         except _Impossible as reason:
             log_message(
                 message_type="item:given_up",
@@ -158,10 +154,13 @@
                 request=item.id,
                 reason=str(reason),
             )
+        self._finish(result)
+
+    def _finish(self, result: Result) -> None:
         self.ready.append(result)
         self.wakeup.set()
 
-    async def _generate(self, item: Item, wanted: bool, text: _Text) -> bool:
+    async def _generate(self, item: Item, wanted: bool, text: Text) -> bool:
         """Generate the whole text, resuming on other engines; False when it was given up."""
         failures = 0
         avoid = ""
@@ -199,7 +198,7 @@
             avoid = state.upstream.id
             await anyio.sleep(FULL_PAUSE_S if reason == "not run" else FAILED_PAUSE_S)
 
-    def _place(self, item: Item, wanted: bool, route: Route, text: _Text, avoid: str) -> Place:
+    def _place(self, item: Item, wanted: bool, route: Route, text: Text, avoid: str) -> Place:
         deadline = self.head.submitted_at + route.result_deadline_s
         exact = text.versions[0] if route.single_version and text.versions else None
         return Place(
@@ -213,7 +212,7 @@
         )
 
     async def _attempt(
-        self, item: Item, route: Route, text: _Text, state: UpstreamState
+        self, item: Item, route: Route, text: Text, state: UpstreamState
     ) -> tuple[int, str]:
         """Run an item on one engine; return the status and why the text is not whole, if so."""
         ports = self.ports
@@ -243,7 +242,7 @@
         self,
         item: Item,
         route: Route,
-        text: _Text,
+        text: Text,
         run: Run,
         headers: list[tuple[bytes, bytes]],
     ) -> tuple[int, str]:
@@ -269,30 +268,33 @@
             if facts.request_id != item.id:
                 return head.status, "the answer is not to this request"
             version = facts.weight_version
-            if version is None:
-                return head.status, "no weight version"
             model = self.submission.model
             upstream = state.upstream
-            ports.scheduler.table.observe_version(upstream.id, upstream.lifetime, model, version)
+            if version is not None:
+                ports.scheduler.table.observe_version(
+                    upstream.id, upstream.lifetime, model, version
+                )
             read = ports.event_reader()
             async for chunk in exchange.chunks():
                 for event in read(chunk):
                     version = version if event.version is None else event.version
+                    if version is None:  # a text that was whole already brings no event
+                        return head.status, "no weight version"
                     if not self._fits(route, text, version):
                         return head.status, "the weight version does not fit"
                     if text.last_id is not None and event.id != text.last_id + 1:
                         return head.status, "an event is missing"
-                    text.take(event, version)
+                    text.add(event.id, event.data, version)
                 run.note_event(ports.clock())
         state.note_success()
         return STATUS_OK, ""
 
-    def _fits(self, route: Route, text: _Text, version: int) -> bool:
+    def _fits(self, route: Route, text: Text, version: int) -> bool:
         """Tell whether an event of this version may join the text; else starts the text anew."""
         if version < self.submission.min_version:
             return False
         if route.single_version and text.versions and text.versions != [version]:
-            text.events, text.versions, text.last_id = [], [], None
+            text.clear()
             return False
         return True
 
--- a/acaciarill/duties.py
+++ b/acaciarill/duties.py
@@ -8,7 +8,7 @@
 
 from .errors import AcaciarillError
 from .leases import Lease, LeaseHolder, LeaseStore
-from .leases.const import LEASE_RENEW_S
+from .leases.const import LEASE_RENEW_S, LEASE_TTL_S
 from .peers import rendezvous_order
 from .timer import TimerService, Unsubscribe
 
@@ -41,8 +41,16 @@
     """Take part in the leases for which this daemon is among the first candidates."""
 
     def __init__(
-        self, membership: Candidates, store: LeaseStore, timer: TimerService, incarnation: str
+        self,
+        membership: Candidates,
+        store: LeaseStore,
+        timer: TimerService,
+        incarnation: str,
+        ttl_s: float = LEASE_TTL_S,
+        renew_s: float = LEASE_RENEW_S,
     ) -> None:
+        self.ttl_s = ttl_s
+        self.renew_s = renew_s
         self.membership = membership
         self.store = store
         self.timer = timer
@@ -65,10 +73,12 @@
             order = self.membership.relays_last(rendezvous_order("duty/" + name, daemons))
             return not self.draining and self.membership.name in order[:CANDIDATES]
 
-        holder = LeaseHolder(name, self.incarnation, self.store, self.timer.now, may_take, on_taken)
+        holder = LeaseHolder(
+            name, self.incarnation, self.store, self.timer.now, may_take, on_taken, self.ttl_s
+        )
         duty = Duty(name, holder, work, [])
         duty.unsubscribes = [
-            self.timer.subscribe(LEASE_RENEW_S, lambda: self._observe(duty)),
+            self.timer.subscribe(self.renew_s, lambda: self._observe(duty)),
             self.timer.subscribe(period_s, lambda: self._work(duty)),
         ]
         self.duties[name] = duty
--- a/acaciarill/fleet/_members.py
+++ b/acaciarill/fleet/_members.py
@@ -23,6 +23,7 @@
     heard_at: float = 0.0
     asked_at: float = 0.0
     failed_since: float | None = None
+    draining: bool = False
     store_reached_at: float = -STORE_FRESH_S
     positions: dict[str, int] = field(default_factory=dict)
 
@@ -63,6 +64,7 @@
         role: str,
         positions: dict[str, int],
         store_reached: bool,
+        draining: bool = False,
     ) -> None:
         """Take what a daemon said of itself in a ping or its answer."""
         if name == self.name:
@@ -75,7 +77,7 @@
         if member.failed_since is not None:
             log_message(message_type="peer:regained", peer=name)
         member.address, member.heard_at, member.failed_since = address, now, None
-        member.positions = positions
+        member.positions, member.draining = positions, draining
         if store_reached:
             member.store_reached_at = now
 
@@ -135,10 +137,16 @@
                 return False
         return False
 
-    def first_in_ring(self, key: str) -> str:
-        """Return the live daemon of this one's role that takes work which nobody owns."""
-        live = [name for name in self.ring(self.own.role) if not self.dead(name)]
-        return rendezvous_order(key, live)[0]
+    def choose_owner(self, key: str, without: str = "") -> str:
+        """Return the daemon of this one's role for the work of a key, itself if none else lives."""
+        live = [
+            name
+            for name in self.ring(self.own.role)
+            if name != without
+            and not self.members[name].draining
+            and self.members[name].failed_since is None
+        ]
+        return rendezvous_order(key, live)[0] if live else self.name
 
     def relays(self) -> list[Member]:
         """Return the peers that reached the store lately, the freshest first."""
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -42,13 +42,16 @@
 """A watch that has not shown what a peer already knows for so long is opened anew."""
 VIEW_FETCH_PERIOD_S = 0.5
 
+DUTY_TTL_S = 2.0
+"""Without a holder no engine gets new weights, and steps come every 4 s."""
+DUTY_RENEW_S = 0.5
 USAGE_POLL_S = 1.0
 USAGE_SETTLE_S = 2.5
 """A window is summed so long after its end; all daemons answer polls within this time."""
 USAGE_KEEP_WINDOWS = 8
 WEIGHTS_PERIOD_S = 0.2
 ORDER_TIMEOUT_S = 0.4
-"""Engines answer within ms; an order without an answer is sent again, made safe by its condition."""
+"""Engines answer within ms; an unanswered order is sent again, made safe by its condition."""
 ORDER_RETRY_S = 2.0
 SCALE_PERIOD_S = 1.0
 RETIRE_PERIOD_S = 0.5
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -39,6 +39,8 @@
     DRAIN_MARGIN_S,
     DRAIN_NOTICE_S,
     DRAIN_POLL_S,
+    DUTY_RENEW_S,
+    DUTY_TTL_S,
     PING_PERIOD_S,
     RETIRE_PERIOD_S,
     SCALE_PERIOD_S,
@@ -232,6 +234,7 @@
                 self.members,
                 self.ports.decode_submission,
                 self.peers.read_at_owner,
+                self.peers.hand_batch,
                 runner,
                 self.task_group,
             ),
@@ -250,7 +253,9 @@
         self.counter.count(customer, at + self.true_time.offset)
 
     def _build_duties(self) -> None:
-        self.duties = DutyManager(self.members, self.store, self.timer, self.settings.host)
+        self.duties = DutyManager(
+            self.members, self.store, self.timer, self.settings.host, DUTY_TTL_S, DUTY_RENEW_S
+        )
         calls = self.ports.duty_calls(self)
         self.usage = UsageDuty(
             self.counter, self.peers.collect_usage, calls.report_usage, self.store
@@ -453,7 +458,8 @@
         """Leave the balancer first, then hand batches over and end what runs."""
         log_message(message_type="daemon:draining", host=self.settings.host)
         started = self.clock()
-        self.draining = True
+        self.draining = self.members.own.draining = True
+        await self.peers.announce()
         await self.duties.release_all()
         await self.book.hand_over()
         if self.front is None:
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -13,7 +13,7 @@
 from ..errors import Outcome, PeerError, Step
 from ..fleet import ROLE_FRONT, Members, StoreChannel, UpstreamTable
 from ..fleet.const import PING_TIMEOUT_S
-from ..mirrors import Mirror, MirrorFollower
+from ..mirrors import Mirror, MirrorFollower, Record
 from ..peers import PeerLinks, PeerServer, messages
 from ..peers.const import PROTOCOL_VERSION
 
@@ -63,6 +63,7 @@
             "read_batch": self._on_read_batch,
             "collect_usage": self._on_collect_usage,
             "version_seen": self._on_version_seen,
+            "own_batch": self._on_own_batch,
         }
 
     # Membership and views
@@ -76,6 +77,7 @@
             role=own.role,
             positions={kind: f.mirror.position for kind, f in self.followers.items()},
             store_reached=self.channel.reached,
+            draining=own.draining,
         )
 
     def _hear(self, ping: messages.Ping) -> None:
@@ -87,6 +89,7 @@
             ping.role,
             positions,
             bool(ping.store_reached),
+            bool(ping.draining),
         )
         for kind, position in positions.items():
             follower = self.followers.get(kind)
@@ -199,6 +202,26 @@
         rows = orjson.loads(found.results)
         return Page(found.total, found.next_position, [Result.from_row(row) for row in rows])
 
+    async def hand_batch(
+        self, owner: str, batch_id: str, record: Record, body: bytes, texts: bytes
+    ) -> None:
+        """Give a batch to the owner that its head names; raise PeerError."""
+        call = messages.OwnBatch(
+            batch=batch_id,
+            revision=record.version,
+            head=orjson.dumps(record.value),
+            body=body,
+            texts=texts,
+        )
+        await self.links.call(self.members.members[owner].address, own_batch=call)
+
+    async def _on_own_batch(self, call: messages.OwnBatch) -> dict[str, messages.Done]:
+        if self.book is None:
+            raise PeerError("no batches are kept here", step=Step.FORWARD, outcome=Outcome.NOT_RUN)
+        record = Record(call.batch, call.revision, orjson.loads(call.head))
+        self.book.take_batch(record, call.body, call.texts)
+        return {"done": messages.Done()}
+
     async def _on_read_batch(self, call: messages.ReadBatch) -> dict[str, messages.BatchResults]:
         if self.book is None:
             raise PeerError("no batches are kept here", step=Step.FORWARD, outcome=Outcome.NOT_RUN)
--- a/acaciarill/leases/_lease.py
+++ b/acaciarill/leases/_lease.py
@@ -79,7 +79,9 @@
         clock: Callable[[], float],
         may_take: Callable[[], bool] = lambda: True,
         on_taken: Callable[[Lease], Awaitable[None]] | None = None,
+        ttl_s: float = LEASE_TTL_S,
     ) -> None:
+        self.ttl_s = ttl_s
         self.key = LEASE_PREFIX + name
         self.name = name
         self.holder = holder
@@ -120,7 +122,9 @@
         if record.nonce != self._seen_nonce:
             self._seen_nonce, self._seen_since = record.nonce, now
         waited_s = now - self._seen_since
-        if record.released or waited_s >= hold_off_s(record.ttl_s):
+        # A holder of the same name was an earlier process of this host, which has ended.
+        ended = record.released or record.holder == self.holder
+        if ended or waited_s >= hold_off_s(record.ttl_s):
             await self._take(record.epoch + 1, self.version)
 
     async def release(self) -> None:
@@ -151,7 +155,7 @@
 
     async def _write(self, epoch: int, version: int) -> None:
         """Write the record; settle a lost answer by reading back the nonce."""
-        record = LeaseRecord(self.holder, epoch, uuid4().hex)
+        record = LeaseRecord(self.holder, epoch, uuid4().hex, self.ttl_s)
         sent_at = self.clock()
         try:
             self.version = await self.store.put(self.key, record.encode(), version)
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -183,6 +183,7 @@
   4: string role,
   5: map<string, i64> positions,
   6: bool store_reached,
+  7: bool draining,
 }
 
 struct FetchView {
@@ -236,6 +237,15 @@
   4: i32 version,
 }
 
+// Hands a batch to the daemon that its head names as the owner.
+struct OwnBatch {
+  1: string batch,
+  2: i64 revision,
+  3: binary head,
+  4: binary body,
+  5: binary texts,
+}
+
 struct Done {
 }
 
@@ -278,6 +288,7 @@
   29: optional CollectUsage collect_usage,
   30: optional CollectedUsage collected_usage,
   31: optional VersionSeen version_seen,
+  32: optional OwnBatch own_batch,
 }
 
 // What a trainer carries from pull to pull.
--- a/tests/leases/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -79,3 +79,12 @@
         await self.first.observe()
         self.assertTrue(self.first.held())
         self.assertFalse(self.first.held(old))
+
+    async def test_restarted_process_of_the_same_host_takes_over_at_once(self) -> None:
+        await self.first.observe()
+        restarted = self.holder("first")
+        await restarted.observe()
+        self.assertTrue(restarted.held())
+        self.assertEqual(restarted.lease.epoch, 2)
+        await self.first.observe()
+        self.assertFalse(self.first.held())
