Compare views by their newest change, so that quiet kinds are not fetched for nothing

Change: compare the version of the newest change, look again after 0.4 s, watch on from the peer's position.

--- a/acaciarill/fleet/_members.py
+++ b/acaciarill/fleet/_members.py
@@ -1,7 +1,7 @@
 """Know the other daemons from the store's list and from pings, and whom to succeed."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -25,7 +25,6 @@
     failed_since: float | None = None
     draining: bool = False
     store_reached_at: float = -STORE_FRESH_S
-    positions: dict[str, int] = field(default_factory=dict)
 
 
 class Members:
@@ -62,7 +61,6 @@
         address: str,
         data_centre: str,
         role: str,
-        positions: dict[str, int],
         store_reached: bool,
         draining: bool = False,
     ) -> None:
@@ -77,7 +75,7 @@
         if member.failed_since is not None:
             log_message(message_type="peer:regained", peer=name)
         member.address, member.heard_at, member.failed_since = address, now, None
-        member.positions, member.draining = positions, draining
+        member.draining = draining
         if store_reached:
             member.store_reached_at = now
 
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -38,9 +38,9 @@
 WATCH_WAIT_S = 15.0
 WATCH_GRACE_S = 1.5
 WATCH_RETRY_S = 0.25
-WATCH_BEHIND_S = 0.5
-"""A watch that has not shown what a peer already knows for so long is opened anew."""
-VIEW_FETCH_PERIOD_S = 0.5
+VIEW_BEHIND_S = 0.4
+"""A view that lacks for so long what a peer knows is taken from that peer; changes are gathered for
+0.3 s before the next watch."""
 
 DUTY_TTL_S = 2.0
 """Without a holder no engine gets new weights, and steps come every 4 s."""
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -12,7 +12,7 @@
 from ..control import RunCounter
 from ..errors import Outcome, PeerError, Step
 from ..fleet import ROLE_FRONT, Members, StoreChannel, UpstreamTable
-from ..fleet.const import PING_TIMEOUT_S
+from ..fleet.const import PING_TIMEOUT_S, VIEW_BEHIND_S
 from ..mirrors import Mirror, MirrorFollower, Record
 from ..peers import PeerLinks, PeerServer, messages
 from ..peers.const import PROTOCOL_VERSION
@@ -75,26 +75,26 @@
             address=own.address,
             data_centre=own.data_centre,
             role=own.role,
-            positions={kind: f.mirror.position for kind, f in self.followers.items()},
+            newest={kind: f.mirror.newest for kind, f in self.followers.items()},
             store_reached=self.channel.reached,
             draining=own.draining,
         )
 
     def _hear(self, ping: messages.Ping) -> None:
-        positions = dict(ping.positions or {})
         self.members.note_heard(
             ping.daemon,
             ping.address,
             ping.data_centre,
             ping.role,
-            positions,
             bool(ping.store_reached),
             bool(ping.draining),
         )
-        for kind, position in positions.items():
+        for kind, newest in (ping.newest or {}).items():
             follower = self.followers.get(kind)
-            if follower is not None and follower.note_peer(position):
-                self.task_group.start_soon(self._fetch_view, ping.address, kind)
+            if follower is None or kind in self.fetching or newest <= follower.mirror.newest:
+                continue
+            self.fetching.add(kind)
+            self.task_group.start_soon(self._fetch_view, ping.address, kind, newest)
 
     async def _on_ping(self, ping: messages.Ping) -> dict[str, messages.Ping]:
         self._hear(ping)
@@ -131,7 +131,11 @@
 
     async def _on_fetch_view(self, call: messages.FetchView) -> dict[str, messages.ViewData]:
         mirror = self._mirror(call.kind)
-        return {"view_data": messages.ViewData(position=mirror.position, records=mirror.encode())}
+        return {
+            "view_data": messages.ViewData(
+                position=mirror.position, records=mirror.encode(), newest=mirror.newest
+            )
+        }
 
     def _mirror(self, kind: str) -> Mirror:
         follower = self.followers.get(kind)
@@ -139,12 +143,13 @@
             raise PeerError("this view is not known here", step=Step.FORWARD)
         return follower.mirror
 
-    async def _fetch_view(self, address: str, kind: str) -> None:
-        """Take a view that a peer has further than this daemon's own watch brought it."""
-        if kind in self.fetching:
-            return
-        self.fetching.add(kind)
+    async def _fetch_view(self, address: str, kind: str, newest: int) -> None:
+        """Take a view from a peer unless this daemon's own watch brings it within a moment."""
+        follower = self.followers[kind]
         try:
+            await anyio.sleep(VIEW_BEHIND_S)
+            if follower.mirror.newest >= newest:
+                return
             call = messages.FetchView(kind=kind)
             frame = await self.links.call(address, fetch_view=call)
         except PeerError as error:
@@ -152,17 +157,15 @@
             return
         finally:
             self.fetching.discard(kind)
-        follower = self.followers[kind]
-        before = follower.mirror.position
-        records = Mirror.decode(frame.view_data.records)
-        if follower.mirror.replace(frame.view_data.position, records):
-            follower.must_list = False
+        data = frame.view_data
+        before = follower.mirror.newest
+        if follower.take_view(data.position, Mirror.decode(data.records), data.newest):
             log_message(
                 message_type="view:fetched",
                 kind=kind,
                 peer=address,
                 before=before,
-                position=follower.mirror.position,
+                newest=follower.mirror.newest,
             )
 
     # Calls to the store
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from ..errors import StoreError, StoreHistoryGoneError
-from ..fleet.const import WATCH_BEHIND_S, WATCH_RETRY_S, WATCH_WAIT_S
+from ..fleet.const import WATCH_RETRY_S, WATCH_WAIT_S
 
 Listener = Callable[[], None]
 
@@ -43,12 +43,17 @@
 
 
 class Mirror:
-    """Hold the newest known objects of a kind, and how far in the store's history they reach."""
+    """Hold the newest known objects of a kind, and how far in the store's history they reach.
+
+    `newest` is the version of the latest change that was taken. Unlike the position, it is the same
+    at all daemons that have seen the same changes.
+    """
 
     def __init__(self, kind: str) -> None:
         self.kind = kind
         self.records: dict[str, Record] = {}
         self.position = 0
+        self.newest = 0
         self.loaded = False
         self.listeners: list[Listener] = []
 
@@ -57,7 +62,7 @@
         self.listeners.append(listener)
         return lambda: self.listeners.remove(listener)
 
-    def replace(self, position: int, records: list[Record]) -> bool:
+    def replace(self, position: int, records: list[Record], newest: int = 0) -> bool:
         """Take a whole listing unless it is older than what is known; tell whether it was taken."""
         if self.loaded and position < self.position:
             return False
@@ -67,6 +72,7 @@
             newer = self.records.get(name)
             if newer is not None and newer.version < record.version:
                 self.records[name] = record
+        self.newest = max([self.newest, newest, *(record.version for record in records)])
         changed = not self.loaded or before != self.records
         self.position, self.loaded = position, True
         if changed:
@@ -76,6 +82,7 @@
     def apply(self, position: int, changes: list[Change]) -> None:
         """Take the changes of a watch, in their order."""
         for change in changes:
+            self.newest = max(self.newest, change.record.version)
             known = self.records.get(change.record.name)
             if known is not None and known.version > change.record.version:
                 continue
@@ -90,6 +97,7 @@
     def put(self, record: Record) -> None:
         """Take one object that this daemon has just written or read."""
         known = self.records.get(record.name)
+        self.newest = max(self.newest, record.version)
         if known is None or known.version < record.version:
             self.records[record.name] = record
             self._notify()
@@ -128,7 +136,6 @@
         self.reached = False
         self.must_list = True
         self._scope: anyio.CancelScope | None = None
-        self._ahead_since: float | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -161,23 +168,12 @@
         position, changes = await self.source.watch_kind(mirror.kind, mirror.position, self.wait_s)
         mirror.apply(position, changes)
 
-    def note_peer(self, position: int) -> bool:
-        """Compare with a peer's position; tell whether the peer has known more for a while.
-
-        The watch in progress is then opened anew, since it may have gone silent.
-        """
-        if position <= self.mirror.position:
-            self._ahead_since = None
-            return False
-        now = self.clock()
-        if self._ahead_since is None:
-            self._ahead_since = now
-            return False
-        if now - self._ahead_since < WATCH_BEHIND_S:
+    def take_view(self, position: int, records: list[Record], newest: int) -> bool:
+        """Take what a peer knows, and watch on from there; the old watch may have gone silent."""
+        if not self.mirror.replace(position, records, newest):
             return False
-        self._ahead_since = None
+        self.must_list = False
         if self._scope is not None:
-            self.must_list = True
             self._scope.cancel()
         return True
 
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -181,7 +181,7 @@
   2: string address,
   3: string data_centre,
   4: string role,
-  5: map<string, i64> positions,
+  5: map<string, i64> newest,
   6: bool store_reached,
   7: bool draining,
 }
@@ -193,6 +193,7 @@
 struct ViewData {
   1: i64 position,
   2: binary records,
+  3: i64 newest,
 }
 
 // Passes on a call to the object store for a host that the store turns away.
