Write results when a group is complete, and read logs by pages

Cause: a quarter of the calls to the store were single reads of segments by daemons that do not own the batch, and each batch took 20 segments although nobody can use results of incomplete groups. Change: results of incomplete groups wait up to 0.5 s for company; a reader takes the segments after the first by pages; a fault in one batch's runner is logged and tried again instead of ending the daemon.

--- a/acaciarill/batches/_book.py
+++ b/acaciarill/batches/_book.py
@@ -38,6 +38,7 @@
     PART_CHARACTERS,
     READ_GRACE_S,
     READ_RETRY_S,
+    RUN_RETRY_S,
 )
 
 
@@ -332,7 +333,9 @@
                 return
             except StoreError as error:
                 log_message(message_type="batch:held_up", batch=batch_id, reason=error.message)
-                await anyio.sleep(ACCEPT_RETRY_S)
+            except Exception as error:  # a fault in one batch must not end the daemon
+                log_message(message_type="batch:runner_failed", batch=batch_id, error=repr(error))
+            await anyio.sleep(RUN_RETRY_S)
 
     async def poll(self) -> None:
         """Take over the batches of dead owners, and delete those that nobody reads any more."""
--- a/acaciarill/batches/_log.py
+++ b/acaciarill/batches/_log.py
@@ -29,6 +29,9 @@
     async def delete(self, key: str) -> None:
         """Delete an object if it is there; raise StoreError."""
 
+    async def names_after(self, kind: str, key: str) -> list[tuple[str, bytes]]:
+        """Return one page of the objects of a kind after a key, by name; raise StoreError."""
+
 
 @dataclass(slots=True)
 class ResultLog:
@@ -53,6 +56,20 @@
                 if found is None:
                     return
                 self._take([Result.from_row(row) for row in orjson.loads(found[0])])
+                await self._load_rest()
+
+    async def _load_rest(self) -> None:
+        """Read what follows a known segment by pages; one call each would cost as many calls."""
+        while True:
+            page = await self.store.names_after(KIND_RESULTS, self._key(self.segments - 1))
+            found = 0
+            for key, value in page:
+                if key != self._key(self.segments):
+                    return
+                self._take([Result.from_row(row) for row in orjson.loads(value)])
+                found += 1
+            if not found:
+                return
 
     async def append(self, results: list[Result]) -> None:
         """Add results that are not listed yet; tries until the store has them."""
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -1,5 +1,6 @@
 """Run the items of one owned batch and list their results."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -23,6 +24,7 @@
 from ._texts import Text, TextStore
 from .const import (
     APPEND_LINGER_S,
+    APPEND_PARTIAL_S,
     FAILED_PAUSE_S,
     FULL_PAUSE_S,
     REQUEST_ID_PLACE,
@@ -83,6 +85,8 @@
         self.ports = ports
         self.ready: list[Result] = []
         self.wakeup = anyio.Event()
+        self.some_ready = anyio.Event()
+        self.missing: Counter[str] = Counter()
         self.scope = anyio.CancelScope()
         self.unfinished = 0
 
@@ -92,6 +96,7 @@
             await self.log.load()
             pending = [item for item in self.submission.items if item.id not in self.log.listed]
             self.unfinished = len(pending)
+            self.missing = Counter(item.group for item in pending)
             if not pending:
                 return
             wanted = wanted_groups(self.submission)
@@ -119,8 +124,12 @@
     async def _append_results(self) -> None:
         """Write finished results, those that end close together in one segment."""
         while self.unfinished:
-            await self.wakeup.wait()
-            await anyio.sleep(APPEND_LINGER_S)
+            if not self.ready:
+                await self.some_ready.wait()
+            with anyio.move_on_after(APPEND_PARTIAL_S):
+                await self.wakeup.wait()
+                await anyio.sleep(APPEND_LINGER_S)
+            self.some_ready = anyio.Event()
             self.wakeup = anyio.Event()
             ready, self.ready = self.ready, []
             await self.log.append(ready)
@@ -132,7 +141,7 @@
         known = self.texts.result(item, minimum, single)
         if known is not None:
             log_message(message_type="item:known", batch=self.batch_id, request=item.id)
-            self._finish(known)
+            self._finish(item, known)
             return
         text = self.texts.text(item, minimum, single)
         result = Result(item.id, STATE_FAILED)
@@ -154,11 +163,14 @@
                 request=item.id,
                 reason=str(reason),
             )
-        self._finish(result)
+        self._finish(item, result)
 
-    def _finish(self, result: Result) -> None:
+    def _finish(self, item: Item, result: Result) -> None:
         self.ready.append(result)
-        self.wakeup.set()
+        self.some_ready.set()
+        self.missing[item.group] -= 1
+        if not self.missing[item.group]:
+            self.wakeup.set()
 
     async def _generate(self, item: Item, wanted: bool, text: Text) -> bool:
         """Generate the whole text, resuming on other engines; False when it was given up."""
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -10,10 +10,13 @@
 PAGE_BYTES = 700_000
 """An answer to a reader holds at most 1 MB."""
 
-APPEND_LINGER_S = 0.1
-"""Results that end within this time share one write to the store."""
+APPEND_LINGER_S = 0.05
+"""Results that end within this time of a completed group share its write to the store."""
+APPEND_PARTIAL_S = 0.5
+"""Results of groups that are not complete wait so long for company: nobody can use them yet."""
 APPEND_RETRY_S = 0.2
 ACCEPT_RETRY_S = 0.15
+RUN_RETRY_S = 0.3
 ACCEPT_LIMIT_S = 8.0
 """Acceptance is settled for at most so long; callers wait 12 s."""
 READ_RETRY_S = 0.3
--- a/acaciarill/platform/_store.py
+++ b/acaciarill/platform/_store.py
@@ -74,6 +74,16 @@
                 return position, records
             after = page["items"][-1]["metadata"]["name"]
 
+    async def names_after(self, kind: str, key: str) -> list[tuple[str, bytes]]:
+        """Return one page of the objects of a kind after a key, by name; raise StoreError."""
+        after = quote(key.partition("/")[2], safe="")
+        status, body = await self.channel.call(
+            "GET", f"/objects/{quote(kind, safe='')}?after={after}"
+        )
+        page = self._checked(status, body, kind)
+        records = [record for item in page["items"] if (record := _safe_record(item))]
+        return [(f"{kind}/{record.name}", orjson.dumps(record.value)) for record in records]
+
     async def watch_kind(self, kind: str, position: int, wait_s: float) -> tuple[int, list[Change]]:
         """Wait for changes after a revision; raise StoreError, StoreHistoryGoneError."""
         wait_ms = int(wait_s * MS_PER_S)
--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -1,6 +1,7 @@
 """Test the write-once log of results: lost answers, rival owners, readers side by side."""
 
 import unittest
+from unittest import mock
 
 import anyio
 from hypothesis import given, settings
@@ -43,6 +44,16 @@
         self.assertEqual(self.names(reader), ["a", "b", "c"])
         self.assertEqual(reader.segments, 2)
 
+    async def test_log_of_many_pages_is_read_whole_and_alone(self) -> None:
+        writer, other = ResultLog("b", self.store), ResultLog("c", self.store)
+        await other.append(results("z"))
+        for name in "acdefgh":
+            await writer.append(results(name))
+        reader = ResultLog("b", self.store)
+        await reader.load()
+        self.assertEqual("".join(self.names(reader)), "acdefgh")
+        self.assertEqual(reader.segments, 7)
+
     async def test_lost_answer_of_an_append_lists_nothing_twice(self) -> None:
         log = ResultLog("b", self.store)
         self.store.lose_next = 1
@@ -92,4 +103,5 @@
                 self.assertEqual(len(names), len(set(names)))
                 seen = names
 
-        anyio.run(run)
+        with mock.patch("acaciarill.batches._log.APPEND_RETRY_S", 0.0):
+            anyio.run(run)
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -36,6 +36,12 @@
         self._check()
         self.objects.pop(key, None)
 
+    async def names_after(self, kind: str, key: str) -> list[tuple[str, bytes]]:
+        """Return a page of two of the objects of a kind after a key."""
+        self._check()
+        names = sorted(name for name in self.objects if name.startswith(kind + "/") and name > key)
+        return [(name, self.objects[name][0]) for name in names[:2]]
+
     async def list(self, prefix: str) -> list[StoredObject]:
         """Return the objects under a prefix."""
         self._check()
