Count only 500s towards giving an item up, and test both edges over real connections

The item's scoring call had failed fewer than max_attempts times with 500; a replica's 504 at the time limit was counted too. Ruled out: answers to other requests (now checked before the status counts). Test: test_only_failures_count_towards_giving_up fails without the change.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -36,6 +36,7 @@
 
 STATUS_OK = 200
 STATUS_IMPOSSIBLE = 422
+STATUS_FAILED = 500
 
 
 @dataclass(slots=True)
@@ -203,7 +204,7 @@
                 return True
             if status == STATUS_IMPOSSIBLE:
                 raise _Impossible("the engine says that it can never be done")
-            if status >= 500 and reason == "failed":
+            if status == STATUS_FAILED and reason == "failed":
                 failures += 1
                 if failures >= route.max_attempts:
                     raise _Impossible("every attempt failed")
@@ -276,9 +277,10 @@
                 if facts.not_run:
                     state.note_full(ports.clock())
                     return head.status, "not run"
-                return head.status, "failed"
             if facts.request_id != item.id:
-                return head.status, "the answer is not to this request"
+                return 0, "the answer is not to this request"
+            if head.status != STATUS_OK:
+                return head.status, "failed"
             version = facts.weight_version
             model = self.submission.model
             upstream = state.upstream
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -172,7 +172,7 @@
             )
         if call.counted:
             self.on_run(call.customer, sent_at)
-        if reply.head.status >= STATUS_SERVER_ERROR:
+        if reply.head.status == STATUS_SERVER_ERROR:  # a 504 says that time ran out, no more
             call.error_replies += 1
         if reply.head.status >= STATUS_SERVER_ERROR and call.route.repeatable:
             if len(call.tried) < call.route.max_attempts:
--- /dev/null
+++ b/tests/fleet/test_forward.py
@@ -0,0 +1,129 @@
+"""Test what is tried again, and what a caller is told, over real connections."""
+
+import random
+import unittest
+from dataclasses import replace
+
+import anyio
+
+from acaciarill.edge import Head, HttpPool, Reply
+from acaciarill.errors import AcaciarillError, Outcome
+from acaciarill.fleet import (
+    AnswerFacts,
+    Attempt,
+    Call,
+    Forwarder,
+    Route,
+    RouteKind,
+    Upstream,
+    UpstreamCodec,
+    UpstreamTable,
+)
+from tests.fakes.upstream import Answer, FakeUpstream, lost, other_answer, silent, status
+
+SAFE = Route("r", "h", "/r/", RouteKind.IDEMPOTENT, (("s", 1.0),), 2.0, 0.05, 3, 0)
+ONCE = replace(SAFE, kind=RouteKind.ONCE)
+
+
+def decode(head: Head) -> AnswerFacts:
+    return AnswerFacts(
+        request_id=head.get(b"x-request-id") or "", not_run=head.get(b"x-not-run") is not None
+    )
+
+
+def encode(headers: list[tuple[bytes, bytes]], attempt: Attempt) -> list[tuple[bytes, bytes]]:
+    return [*headers, (b"X-Instance", attempt.upstream.id.encode())]
+
+
+FULL = status(503, (b"X-Not-Run", b"1"))
+OK = status(200)
+
+
+class ForwardTest(unittest.IsolatedAsyncioTestCase):
+    """Let upstreams fail in each way, alone and one after the other."""
+
+    async def forward(
+        self, route: Route, *answers: Answer
+    ) -> tuple[Reply | AcaciarillError, Call, int]:
+        """Return the outcome, the call, and how many requests reached upstreams."""
+        upstreams = [FakeUpstream(answer) for answer in answers]
+        runs: list[str] = []
+        async with anyio.create_task_group() as tasks:
+            for upstream in upstreams:
+                await upstream.start(tasks)
+            table = UpstreamTable("dc", anyio.current_time, random.Random(1))
+            table.update(
+                [
+                    Upstream(f"u{i}", f"u{i}", "s", upstream.address, "dc", 8 - i)
+                    for i, upstream in enumerate(upstreams)
+                ]
+            )
+            for i, name in enumerate(sorted(table.states)):
+                table.states[name].in_flight = i  # makes the order of choice certain
+            pool = HttpPool(anyio.current_time)
+            forwarder = Forwarder(
+                pool,
+                table,
+                UpstreamCodec(encode, decode),
+                anyio.current_time,
+                random.Random(1),
+                lambda customer, at: runs.append(customer),
+            )
+            call = Call(
+                "id-1",
+                "POST",
+                "/r/1",
+                [(b"X-Request-Id", b"id-1")],
+                b"x",
+                route,
+                "s",
+                "customer",
+                anyio.current_time() + 2.0,
+            )
+            outcome: Reply | AcaciarillError
+            try:
+                outcome = await forwarder.forward(call)
+            except AcaciarillError as error:
+                outcome = error
+            tasks.cancel_scope.cancel()
+        self.runs = runs
+        return outcome, call, sum(len(upstream.requests) for upstream in upstreams)
+
+    async def test_full_upstream_is_passed_over_for_any_kind(self) -> None:
+        for route in (SAFE, ONCE):
+            outcome, call, _ = await self.forward(route, FULL, OK)
+            self.assertEqual(outcome.head.status, 200)
+            self.assertEqual(call.tried, ["u0", "u1"])
+            self.assertEqual(self.runs, ["customer"])
+
+    async def test_lost_answer_is_tried_again_only_where_it_may_run_twice(self) -> None:
+        outcome, _, reached = await self.forward(SAFE, lost, OK)
+        self.assertEqual((outcome.head.status, reached), (200, 2))
+        outcome, _, reached = await self.forward(ONCE, lost, OK)
+        self.assertEqual((outcome.outcome, outcome.status, reached), (Outcome.UNKNOWN, 504, 1))
+
+    async def test_refusal_after_a_lost_answer_does_not_say_not_run(self) -> None:
+        outcome, _, _ = await self.forward(SAFE, lost, FULL, FULL)
+        self.assertEqual((outcome.outcome, outcome.status), (Outcome.UNKNOWN, 504))
+
+    async def test_refusals_alone_say_not_run_and_when_to_come_back(self) -> None:
+        outcome, _, _ = await self.forward(SAFE, FULL, FULL, FULL)
+        self.assertEqual((outcome.outcome, outcome.status), (Outcome.NOT_RUN, 503))
+        self.assertGreater(outcome.retry_after_s, 0.0)
+
+    async def test_answer_to_another_request_is_not_passed_on(self) -> None:
+        outcome, _, _ = await self.forward(SAFE, other_answer, OK)
+        self.assertEqual(outcome.body, b"body")
+
+    async def test_silent_upstream_is_left_for_another(self) -> None:
+        outcome, call, _ = await self.forward(SAFE, silent, OK)
+        self.assertEqual((outcome.head.status, call.tried), (200, ["u0", "u1"]))
+
+    async def test_only_failures_count_towards_giving_up(self) -> None:
+        # hunt-944f-15, MIXED: an item was given up since a 504 was counted as a failed attempt.
+        _, call, _ = await self.forward(SAFE, status(504), status(500), status(500))
+        self.assertEqual(call.error_replies, 2)
+
+    async def test_no_more_upstreams_than_the_route_allows(self) -> None:
+        _, call, reached = await self.forward(replace(SAFE, max_attempts=2), lost, lost, OK)
+        self.assertEqual((len(call.tried), reached), (2, 2))
