--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -15,6 +15,7 @@
     order_routes,
 )
 from ._store_channel import StoreChannel
+from ._streaming import StreamForwarder
 from ._upstreams import UpstreamState, UpstreamTable
 
 __all__ = [
@@ -33,6 +34,7 @@
     "Scaling",
     "Service",
     "StoreChannel",
+    "StreamForwarder",
     "Upstream",
     "UpstreamCodec",
     "UpstreamState",
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -447,9 +448,39 @@
         able = self.ready and not self.draining and self.configuration is not None
         await responder.answer(200 if able else 503, [])
 
+    def status(self) -> dict[str, Any]:
+        """Return what this daemon believes, for operators."""
+        lease = self.duties.held()
+        return {
+            "host": self.settings.host,
+            "data_centre": self.settings.data_centre,
+            "role": self.settings.role,
+            "ready": self.ready and not self.draining and self.configuration is not None,
+            "draining": self.draining,
+            "configuration": self.configuration.version if self.configuration else None,
+            "views": {
+                kind: {"newest": f.mirror.newest, "followed": f.reached}
+                for kind, f in self.followers.items()
+            },
+            "store_reached": self.channel.reached,
+            "store_calls": self.channel.calls,
+            "store_calls_relayed": self.channel.relayed,
+            "daemons": sorted(self.members.daemons()),
+            "duties": lease,
+            "upstreams": len(self.table.states),
+            "named_versions": self.named_versions,
+            "batches_owned": sorted(self.book.runners),
+            "items_waiting": len(self.scheduler.waiters),
+            "items_running": len(self.scheduler.runs),
+        }
+
     async def _serve_metrics(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         async def answer(request: Request, responder: Responder) -> None:
-            await responder.answer(200, [(b"Content-Type", b"text/plain")], self.metrics.text())
+            if request.target == "/v1/status":
+                kind, body = b"application/json", orjson.dumps(self.status())
+            else:
+                kind, body = b"text/plain", self.metrics.text()
+            await responder.answer(200, [(b"Content-Type", kind)], body)
 
         server = EdgeServer(self.settings.metrics_address, answer, self.clock)
         await server.run(task_status=task_status)
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -239,6 +239,12 @@
     return orjson.dumps({"total": page.total, "next": page.next, "results": results})
 
 
+def event_id(block: bytes) -> int | None:
+    """Return the id of one whole event, None where it has none."""
+    event = _event(block)
+    return None if event is None else event.id
+
+
 class EventReader:
     """Cut the bytes of a stream into events; a part of an event waits for its rest."""
 
--- a/acaciarill/platform/_front.py
+++ b/acaciarill/platform/_front.py
@@ -6,10 +6,10 @@
 from eliot import log_message
 
 from ..batches import BatchBook, Page
-from ..edge import Request, Responder
+from ..edge import Head, Request, Responder
 from ..errors import AcaciarillError, BadRequestError, Outcome, RefusedError, Step
-from ..fleet import Call, Configuration, Forwarder, Route, RouteKind
-from ._decode import encode_page
+from ..fleet import Call, Configuration, Forwarder, Route, RouteKind, StreamForwarder
+from ._decode import encode_page, event_id
 from ._headers import answer_headers
 from .const import (
     AUTHORIZATION_SCHEME,
@@ -54,6 +54,7 @@
     ) -> None:
         self.configuration = configuration
         self.forwarder = forwarder
+        self.streams = StreamForwarder(forwarder, event_id)
         self.book = book
         self.clock = clock
         self.observe = observe
@@ -84,6 +85,9 @@
                     )
                     status = 202
                     await responder.answer(status, [])
+                elif route.kind is RouteKind.STREAM:
+                    kind = "stream"
+                    status = await self._stream(request, responder, route, customer)
                 else:
                     status = await self._forward(request, responder, route, customer)
         except AcaciarillError as error:
@@ -112,7 +116,26 @@
     async def _forward(
         self, request: Request, responder: Responder, route: Route, customer: str
     ) -> int:
-        call = Call(
+        call = self._call(request, route, customer)
+        reply = await self.forwarder.forward(call)
+        self._log(request, reply.head.status, route=route.name, tried=call.tried)
+        await responder.answer(reply.head.status, answer_headers(reply.head), reply.body)
+        return reply.head.status
+
+    async def _stream(
+        self, request: Request, responder: Responder, route: Route, customer: str
+    ) -> int:
+        async def start(head: Head) -> None:
+            await responder.start(head.status, answer_headers(head))
+
+        call = self._call(request, route, customer)
+        head = await self.streams.forward(call, start, responder.send)
+        self._log(request, head.status, route=route.name, tried=call.tried)
+        await responder.finish()
+        return head.status
+
+    def _call(self, request: Request, route: Route, customer: str) -> Call:
+        return Call(
             request.get(HEADER_REQUEST_ID),
             request.method,
             request.target,
@@ -123,10 +146,6 @@
             customer,
             request.received_at + self._allowed_s(request, route),
         )
-        reply = await self.forwarder.forward(call)
-        self._log(request, reply.head.status, route=route.name, tried=call.tried)
-        await responder.answer(reply.head.status, answer_headers(reply.head), reply.body)
-        return reply.head.status
 
     def _allowed_s(self, request: Request, route: Route) -> float:
         text = request.get(HEADER_DEADLINE_MS)
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from pathlib import Path
 
 import anyio
 from eliot import log_message
@@ -34,6 +35,8 @@
 
 STANDARD_OUTPUT = 1
 EXIT_BAD_SETTINGS = 2
+SETTINGS_PERIOD_S = 2.0
+"""How often the settings file is compared; only the seeds may change, and they are hints."""
 
 
 def build_ports(settings: PlatformSettings) -> FleetPorts:
@@ -83,10 +86,28 @@
         store=settings.store,
         drain_s=settings.drain_s,
         usage_window_s=settings.usage_window_s,
-        metrics_address=f"{settings.ip}:{settings.metrics_port}",
+        metrics_address=settings.metrics,
     )
 
 
+async def follow_settings(daemon: FleetDaemon, path: Path) -> None:
+    """Take the settings that may change while a process runs, with or without a signal."""
+    known = path.read_bytes()
+    while True:
+        await anyio.sleep(SETTINGS_PERIOD_S)
+        try:
+            found = path.read_bytes()
+            if found == known:
+                continue
+            known = found
+            settings = load_settings(path)
+        except (OSError, ConfigError) as error:
+            log_message(message_type="daemon:reload_failed", reason=str(error))
+            continue
+        daemon.peers.seeds = settings.seeds
+        log_message(message_type="daemon:reloaded", seeds=settings.seeds)
+
+
 async def run_process(settings: PlatformSettings) -> None:
     """Serve until SIGTERM or SIGINT."""
     stop = anyio.Event()
@@ -100,7 +121,9 @@
 
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(watch_signals)
-        await FleetDaemon(fleet_settings(settings), build_ports(settings), task_group).run(stop)
+        daemon = FleetDaemon(fleet_settings(settings), build_ports(settings), task_group)
+        task_group.start_soon(follow_settings, daemon, settings_path())
+        await daemon.run(stop)
         task_group.cancel_scope.cancel()
 
 
--- a/acaciarill/platform/_settings.py
+++ b/acaciarill/platform/_settings.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ..errors import ConfigError, ConfigFault
-from .const import SETTINGS_PATH, SETTINGS_VARIABLE
+from .const import METRICS_PORT, SETTINGS_PATH, SETTINGS_VARIABLE
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,7 +27,7 @@
     drain_s: float
     usage_window_s: float
     batch_kept_s: float
-    metrics_port: int
+    metrics: str
     data_centres: tuple[str, ...] = field(default=())
 
 
@@ -51,7 +51,7 @@
 def _read(raw: dict[str, Any]) -> PlatformSettings:
     listen = raw.get("listen", {})
     bounds = raw["bounds"]
-    first_port, last_port = raw["port_range"]
+    first_port = raw["port_range"][0]
     ip = raw["ip"]
     # Ports are the same on all machines, so the first free one serves where no address is given.
     return PlatformSettings(
@@ -68,6 +68,6 @@
         drain_s=float(bounds["grace_s"]),
         usage_window_s=float(bounds.get("report_window_s", 5)),
         batch_kept_s=float(bounds.get("status_s", 120)),
-        metrics_port=int(last_port),
+        metrics=f"{ip}:{METRICS_PORT}",
         data_centres=tuple(raw.get("zones", {})),
     )
--- a/acaciarill/platform/const.py
+++ b/acaciarill/platform/const.py
@@ -3,6 +3,9 @@
 SETTINGS_VARIABLE = "ACACIARILL_SETTINGS"
 SETTINGS_PATH = "/etc/acaciarill/node.toml"
 
+METRICS_PORT = 9464
+"""Stands in deploy/system.toml as well, since the settings name no address for metrics."""
+
 KIND_CONFIG = "config"
 KIND_SERVERS = "servers"
 KIND_VERSIONS = "versions"
