--- /dev/null
+++ b/tests/platform/test_decode.py
@@ -0,0 +1,264 @@
+"""Test how the platform's objects, headers and settings become this product's types."""
+
+import base64
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciarill.batches import Page, Result
+from acaciarill.edge import Head
+from acaciarill.errors import BadRequestError, ConfigError
+from acaciarill.fleet import Attempt, LoadReport, RouteKind, Upstream
+from acaciarill.mirrors import Record
+from acaciarill.platform._decode import (
+    EventReader,
+    decode_configuration,
+    decode_named_versions,
+    decode_submission,
+    decode_upstream,
+    encode_page,
+)
+from acaciarill.platform._headers import decode_answer, encode_attempt
+from acaciarill.platform._settings import load_settings
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "hostname": "h.example",
+            "path_prefix": "/a/",
+            "kind": "safe",
+            "timeout_ms": 1500,
+            "target_latency_ms": 166,
+            "priority": 2,
+            "traffic_split": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+            "max_attempts": 2,
+            "public": False,
+        },
+        {
+            "name": "r2",
+            "hostname": "h.example",
+            "path_prefix": "/a/b/",
+            "kind": "rollout",
+            "service": "z",
+            "result_deadline_ms": 7500,
+            "max_queue_s": 40,
+        },
+    ],
+    "services": [{"name": "x"}, {"name": "z", "scaling": {"min": 1, "max": 3}}],
+    "limits": {"max_header_bytes": 100, "idle_timeout_ms": 2500},
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+SERVER = {
+    "service": "x",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "sequence": 4,
+    "born": 17,
+}
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Decode a configuration, and keep the last one when a newer one cannot be read."""
+
+    def test_routes_keys_and_limits(self) -> None:
+        found = decode_configuration({"main": Record("main", 5, CONFIG)})
+        route = found.match("h.example", "/a/b/c")
+        self.assertEqual((route.name, route.kind), ("r2", RouteKind.BATCH))
+        self.assertEqual((route.result_deadline_s, route.max_queue_s), (7.5, 40.0))
+        split = found.match("h.example", "/a/c")
+        self.assertEqual([split.service(0.5), split.service(0.95)], ["x", "y"])
+        self.assertEqual(found.customers, {"k1": "t1", "k2": "t1"})
+        self.assertEqual((found.limits.header_bytes, found.limits.idle_timeout_s), (100, 2.5))
+        self.assertIsNone(found.match("h.example", "/other/"))
+        self.assertIsNone(found.match("other.example", "/a/"))
+
+    def test_unreadable_configuration_is_none(self) -> None:
+        broken = CONFIG | {"routes": [{"name": "r"}]}
+        self.assertIsNone(decode_configuration({"main": Record("main", 6, broken)}))
+        self.assertIsNone(decode_configuration({}))
+
+
+class UpstreamTest(unittest.TestCase):
+    """Take only entries that name a replica to use."""
+
+    def test_entry_with_every_field(self) -> None:
+        found = decode_upstream(Record("i-1", 2, SERVER))
+        self.assertEqual(
+            found, Upstream("i-1", "i-1/17", "x", "10.0.0.1:80", "a", 8, versions={"m": 3})
+        )
+
+    def test_restart_under_the_same_id_is_another_lifetime(self) -> None:
+        first = decode_upstream(Record("i-1", 2, SERVER))
+        second = decode_upstream(Record("i-1", 3, SERVER | {"born": 18}))
+        self.assertNotEqual(first.lifetime, second.lifetime)
+
+    @settings(max_examples=80, derandomize=True)
+    @given(
+        st.sampled_from(["service", "address", "zone", "slots", "state", "models"]),
+        st.one_of(st.none(), st.integers(), st.booleans(), st.lists(st.integers(), min_size=1)),
+    )
+    def test_foreign_entries_name_no_replica(self, field: str, value: object) -> None:
+        if field == "slots" and isinstance(value, int) and not isinstance(value, bool):
+            return
+        if field == "models" and not value:
+            return
+        self.assertIsNone(decode_upstream(Record("i-1", 2, SERVER | {field: value})))
+
+    def test_missing_and_unknown_values_name_no_replica(self) -> None:
+        for field in ("service", "address", "zone", "slots", "state"):
+            value = {key: item for key, item in SERVER.items() if key != field}
+            self.assertIsNone(decode_upstream(Record("i-1", 2, value)))
+        self.assertIsNone(decode_upstream(Record("i-1", 2, SERVER | {"state": "odd"})))
+        self.assertIsNone(decode_upstream(Record("i-1", 2, "bytes")))
+
+    def test_versions_of_foreign_entries_are_passed_over(self) -> None:
+        records = {
+            "m": Record("m", 1, {"model": "m", "version": 2}),
+            "n": Record("n", 2, {"model": "n", "version": "two"}),
+        }
+        self.assertEqual(decode_named_versions(records), {"m": 2})
+
+
+class SubmissionTest(unittest.TestCase):
+    """Decode batches and encode their results."""
+
+    def test_item_with_its_scoring_call(self) -> None:
+        item = {
+            "id": "i",
+            "path": "/p",
+            "headers": {"X-Acaciarill-Length-Hint": "12"},
+            "body": base64.b64encode(b"\xab\xcd").decode(),
+            "tokens": 9,
+            "group": "g",
+            "scorer_url": {"id": "s", "hostname": "h", "path": "/q", "body": ""},
+        }
+        body = {"step": 1, "model": "m", "min_version": 2, "desired": 1, "items": [item]}
+        found = decode_submission(json.dumps(body).encode())
+        self.assertEqual((found.model, found.min_version, found.desired), ("m", 2, 1))
+        self.assertEqual((found.items[0].body, found.items[0].expected_tokens), (b"\xab\xcd", 12))
+        self.assertEqual(found.items[0].score.id, "s")
+
+    def test_malformed_batches_are_bad_requests(self) -> None:
+        for body in (b"", b"[]", b"{}", b'{"items":[{}]}', b'{"items":[{"id":"a"}]}'):
+            with self.assertRaises(BadRequestError):
+                decode_submission(body)
+
+    def test_page_spells_results_as_their_reader_expects(self) -> None:
+        page = Page(3, 2, [Result("a", "completed", "x", (1, 2), "s"), Result("b", "failed")])
+        self.assertEqual(
+            json.loads(encode_page(page)),
+            {
+                "total": 3,
+                "next": 2,
+                "results": [
+                    {
+                        "id": "a",
+                        "state": "completed",
+                        "output": "x",
+                        "versions": [1, 2],
+                        "score": "s",
+                    },
+                    {"id": "b", "state": "errored", "output": ""},
+                ],
+            },
+        )
+
+
+class EventReaderTest(unittest.TestCase):
+    """Cut streams into events wherever the bytes are split."""
+
+    STREAM = (
+        b"id: 0\ndata: a\n\nx-acaciarill-weight-versions: 7\nid: 1\ndata: b\ndata: c\n\n"
+        b"id: 2\ndata: d\n\nid: 3\nda"
+    )
+
+    @settings(max_examples=60, derandomize=True)
+    @given(st.lists(st.integers(0, len(STREAM)), max_size=6))
+    def test_any_split_gives_the_same_events(self, cuts: list[int]) -> None:
+        reader, bounds = EventReader(), [0, *sorted(cuts), len(self.STREAM)]
+        events = [
+            event
+            for start, end in zip(bounds, bounds[1:], strict=False)
+            for event in reader(self.STREAM[start:end])
+        ]
+        found = [(event.id, event.data, event.version) for event in events]
+        self.assertEqual(found, [(0, "a", None), (1, "b\nc", 7), (2, "d", None)])
+
+
+class HeadersTest(unittest.TestCase):
+    """Pass headers on without what the system sets itself or keeps."""
+
+    def test_key_and_forged_headers_are_not_passed_on(self) -> None:
+        upstream = Upstream("i-1", "l", "x", "a:1", "z", 8)
+        sent = [
+            (b"Host", b"h"),
+            (b"Authorization", b"Bearer secret"),
+            (b"X-Acaciarill-Tenant", b"forged"),
+            (b"Connection", b"x-hop, close"),
+            (b"X-Hop", b"1"),
+            (b"X-Kept", b"2"),
+            (b"X-Acaciarill-Attempt-Id", b"id"),
+        ]
+        found = encode_attempt(sent, Attempt(upstream, 1.5, "t1", resume_after=4))
+        names = {name.lower(): value for name, value in found}
+        self.assertNotIn(b"authorization", names)
+        self.assertNotIn(b"x-hop", names)
+        self.assertNotIn(b"connection", names)
+        self.assertEqual(names[b"x-acaciarill-tenant"], b"t1")
+        self.assertEqual(names[b"x-acaciarill-deadline-ms"], b"1500")
+        self.assertEqual(names[b"x-acaciarill-expect-instance"], b"i-1")
+        self.assertEqual(names[b"last-event-id"], b"4")
+        self.assertEqual((names[b"x-kept"], names[b"x-acaciarill-attempt-id"]), (b"2", b"id"))
+
+    def test_answers_of_an_upstream(self) -> None:
+        found = decode_answer(
+            Head(
+                503,
+                [
+                    (b"x-acaciarill-not-run", b"1"),
+                    (b"x-acaciarill-instance-load", b"3, 0,8"),
+                    (b"x-acaciarill-weight-versions", b"6"),
+                ],
+            )
+        )
+        self.assertTrue(found.not_run)
+        self.assertEqual((found.load, found.weight_version), (LoadReport(3, 0, 8), 6))
+        self.assertTrue(decode_answer(Head(421, [])).not_run)
+        self.assertFalse(decode_answer(Head(503, [])).not_run)
+        self.assertIsNone(decode_answer(Head(200, [(b"x-acaciarill-instance-load", b"x")])).load)
+
+
+class SettingsTest(unittest.TestCase):
+    """Read the platform's settings and name what is wrong in them."""
+
+    TEXT = (
+        'node = "f1"\nip = "10.1.0.4"\nzone = "a"\nport_range = [7360, 7375]\n'
+        'seeds = ["10.1.0.5:8683"]\n[listen]\nfront = "10.1.0.4:1"\nready = "10.1.0.4:2"\n'
+        '[bounds]\ngrace_s = 8\n[provider]\naddress = "10.2.0.1:3"\n'
+    )
+
+    def load(self, text: str) -> object:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_text(text)
+            return load_settings(path)
+
+    def test_settings_of_a_front(self) -> None:
+        found = self.load(self.TEXT)
+        self.assertTrue(found.serves_callers)
+        self.assertEqual((found.peers, found.seeds), ("10.1.0.4:7360", ("10.1.0.5:7360",)))
+
+    def test_missing_field_is_named(self) -> None:
+        with self.assertRaisesRegex(ConfigError, "provider"):
+            self.load(self.TEXT.replace("[provider]", "[other]"))
+        with self.assertRaises(ConfigError):
+            self.load("no toml")
