--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -213,5 +213,5 @@
             outcome=str(error.outcome),
             reason=error.message,
             in_flight=state.in_flight,
-            load_age_s=round(self.clock() - state.reported_at, 2),
+            load_age_s=round(self.clock() - state.reported_at, 2) if state.reported_at else None,
         )
