Raise the loss of a connection unwrapped, and list an item once however often it was finished

The runner was started again with the results of its first run still waiting, and one append held items twice. Ruled out: the log in the store (positions never moved). Change: the pool raises the error itself; a list of results is made unique before it is written; a new run starts with no results waiting. Tests: test_lost_answer_is_unknown_whatever_the_size_of_the_body and test_item_that_is_finished_twice_is_listed_once failed before.

--- a/acaciarill/batches/_log.py
+++ b/acaciarill/batches/_log.py
@@ -73,7 +73,7 @@
 
     async def append(self, results: list[Result]) -> None:
         """Add results that are not listed yet; tries until the store has them."""
-        waiting = results
+        waiting = list({result.id: result for result in results}.values())
         while waiting := [result for result in waiting if result.id not in self.listed]:
             taken = _segment(waiting)
             rows = orjson.dumps([result.row() for result in taken])
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -95,6 +95,7 @@
         """Run until every item is listed, or `scope` is cancelled."""
         with self.scope:
             await self.log.load()
+            self.ready.clear()  # of an earlier run that failed: its items are known by now
             pending = [item for item in self.submission.items if item.id not in self.log.listed]
             self.unfinished = len(pending)
             self.missing = Counter(item.group for item in pending)
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -176,11 +176,17 @@
                 await exchange.send(data, check)
                 yield exchange
             else:
+                failure: Exception | None = None
                 async with anyio.create_task_group() as sender:
                     sender.start_soon(_send_quietly, exchange, data, check)
-                    yield exchange
+                    try:
+                        yield exchange
+                    except Exception as error:  # raised below: the task group would wrap it
+                        failure = error
                     if not exchange.complete:
                         sender.cancel_scope.cancel()
+                if failure is not None:
+                    raise failure
             kept = exchange.complete and self._give_back(key, exchange)
         finally:
             if not kept:
--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -74,6 +74,12 @@
         await fresh.load()
         self.assertEqual(self.names(fresh), ["a", "b", "c", "d"])
 
+    async def test_item_that_is_finished_twice_is_listed_once(self) -> None:
+        # inc-e811, TWICE: a runner that was started again listed items of both its runs.
+        log = ResultLog("b", self.store)
+        await log.append([*results("a", "b"), *results("a")])
+        self.assertEqual(self.names(log), ["a", "b"])
+
     async def test_page_holds_at_least_one_result(self) -> None:
         log = ResultLog("b", self.store)
         await log.append([Result("a", "completed", "x" * 900_000), *results("b")])
--- /dev/null
+++ b/tests/edge/test_client.py
@@ -0,0 +1,74 @@
+"""Test what a caller of an upstream learns when connections fail."""
+
+import unittest
+
+import anyio
+
+from acaciarill.edge import HttpPool
+from acaciarill.edge.const import INLINE_BODY_BYTES
+from acaciarill.errors import Outcome, UpstreamError
+from tests.fakes.ports import free_port
+from tests.fakes.upstream import Answer, FakeUpstream, lost, status
+
+BODIES = (b"x", b"x" * (INLINE_BODY_BYTES + 1))
+
+
+class HttpPoolTest(unittest.IsolatedAsyncioTestCase):
+    """Lose connections before, within and after an exchange, with short and long bodies."""
+
+    async def request(self, body: bytes, *answers: Answer, times: int = 1) -> HttpPool:
+        upstream = FakeUpstream(*answers)
+        pool = HttpPool(anyio.current_time)
+        async with anyio.create_task_group() as tasks:
+            await upstream.start(tasks)
+            try:
+                for _ in range(times):
+                    await pool.request(upstream.address, "POST", "/", [], body)
+            finally:
+                tasks.cancel_scope.cancel()
+        return pool
+
+    async def test_lost_answer_is_unknown_whatever_the_size_of_the_body(self) -> None:
+        # inc-e811: with a body of over 32 KB the error came wrapped and ended the batch's runner.
+        for body in BODIES:
+            try:
+                await self.request(body, lost)
+            except* UpstreamError as group:
+                self.assertEqual(len(group.exceptions), 1)
+                self.assertIs(group.exceptions[0].outcome, Outcome.UNKNOWN)
+            with self.assertRaises(BaseException) as caught:
+                await self._bare(body)
+            self.assertIsInstance(caught.exception, UpstreamError)
+
+    async def _bare(self, body: bytes) -> None:
+        """Send to a peer that closes without an answer, outside any task group."""
+
+        async def close(stream: anyio.abc.SocketStream) -> None:
+            await stream.receive()
+            await stream.aclose()
+
+        port = free_port()
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, close)
+            failure: BaseException | None = None
+            try:
+                await HttpPool(anyio.current_time).request(
+                    f"127.0.0.1:{port}", "POST", "/", [], body
+                )
+            except BaseException as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def test_nobody_listening_means_not_run(self) -> None:
+        with self.assertRaises(UpstreamError) as caught:
+            await HttpPool(anyio.current_time).request(
+                f"127.0.0.1:{free_port()}", "GET", "/", [], b""
+            )
+        self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
+
+    async def test_connection_is_kept_after_a_whole_answer(self) -> None:
+        pool = await self.request(b"x", status(200), times=3)
+        self.assertEqual(pool.opened, 1)
