Put the command line above daemons and operators, and show a shared fleet's daemon with it

daemon, dev and operators imported each other in a circle: the endpoints knew the daemon's class and the command line, which starts daemons, stood beside the endpoints. Now acaciarill.operators names what it needs of a daemon, acaciarill.command_line starts daemons and calls them, nothing imports upwards. acaciarill fleet-status asks a daemon of the shared fleet by its metrics address.

--- a/acaciarill/__main__.py
+++ b/acaciarill/__main__.py
@@ -1,5 +1,5 @@
 """Run the command line by `python -m acaciarill`."""
 
-from .operators import main
+from .command_line import main
 
 main()
--- a/acaciarill/operators/_cli.py
+++ b/acaciarill/command_line/_cli.py
@@ -260,6 +260,18 @@
     _show(answer, as_json, "\n".join(lines))
 
 
+@main.command("fleet-status")
+@JSON
+@click.pass_obj
+def fleet_status(client: DaemonClient, as_json: bool) -> None:
+    """Show the state of one daemon of a shared fleet, by its metrics address.
+
+    Example: acaciarill --daemon http://10.1.0.14:9464 fleet-status --json
+    """
+    answer = client.call("GET", "/v1/status")
+    _show(answer, as_json, "\n".join(f"{name}: {value}" for name, value in answer.items()))
+
+
 @main.command()
 @JSON
 @click.pass_obj
--- a/acaciarill/operators/__init__.py
+++ b/acaciarill/operators/__init__.py
@@ -1,6 +1,6 @@
-"""Serve operators: HTTP endpoints of a daemon and the command line over them."""
+"""Serve operators: the HTTP endpoints of a daemon."""
 
 from ._app import OperatorsApp
-from ._cli import main
+from ._daemon import OperatedDaemon
 
-__all__ = ["OperatorsApp", "main"]
+__all__ = ["OperatedDaemon", "OperatorsApp"]
--- a/acaciarill/operators/_app.py
+++ b/acaciarill/operators/_app.py
@@ -1,7 +1,7 @@
 """Answer operators over HTTP."""
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import orjson
 from starlette.applications import Starlette
@@ -13,20 +13,18 @@
 from ..config.const import SECTION_PREFIX
 from ..daemons.const import SOURCE_STORE
 from ..errors import AcaciarillError, BadRequestError, Step, StoreConflictError
+from ._daemon import OperatedDaemon
 from ._identity import Operator, identify
 from ._withdrawal import ask_daemons, withdraw_key
 from .const import GRANT_ATTEMPTS, OWNER_PLATFORM
 
-if TYPE_CHECKING:
-    from ..daemon import Daemon
-
 Handler = Callable[[Request, Operator], Awaitable[Any]]
 
 
 class OperatorsApp:
     """Show a daemon's state and change the configuration through it."""
 
-    def __init__(self, daemon: "Daemon") -> None:
+    def __init__(self, daemon: OperatedDaemon) -> None:
         self.daemon = daemon
         self.app = Starlette(
             routes=[
--- /dev/null
+++ b/acaciarill/operators/_daemon.py
@@ -0,0 +1,38 @@
+"""Describe the daemon that operators see and change, without knowing its class."""
+
+from typing import Protocol
+
+from ..callers import Admission, CallersApp
+from ..config import ConfigCoordinator, ConfigStore
+from ..daemons import Membership, Spread
+from ..duties import DutyManager
+from ..object_store import ObjectStore
+from ..peers import PeerLinks, PeerServer
+from ..settings import Settings
+from ..telemetry import Telemetry
+from ..timer import TimerService
+from ..trainers import SampleHolder
+from ..upstreams import UpstreamClient, UpstreamCoordinator
+
+
+class OperatedDaemon(Protocol):
+    """Hold the parts of a daemon that operators see and change."""
+
+    name: str
+    incarnation: str
+    settings: Settings
+    timer: TimerService
+    config: ConfigCoordinator
+    config_store: ConfigStore
+    store: ObjectStore
+    membership: Membership
+    spread: Spread
+    links: PeerLinks
+    server: PeerServer
+    telemetry: Telemetry
+    duties: DutyManager
+    admission: Admission
+    callers: CallersApp
+    holder: SampleHolder
+    upstreams: UpstreamCoordinator
+    client: UpstreamClient
--- a/acaciarill/operators/_withdrawal.py
+++ b/acaciarill/operators/_withdrawal.py
@@ -1,6 +1,6 @@
 """Withdraw a key everywhere and find out where it is in force."""
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import anyio
 
@@ -8,13 +8,11 @@
 from ..errors import AcaciarillError
 from ..host_list.const import ROLE_ENTRY
 from ..peers import messages
+from ._daemon import OperatedDaemon
 from .const import CONFIRM_GRACE_S, CONFIRM_PERIOD_S
 
-if TYPE_CHECKING:
-    from ..daemon import Daemon
 
-
-async def withdraw_key(daemon: "Daemon", key_id: str) -> dict[str, Any]:
+async def withdraw_key(daemon: OperatedDaemon, key_id: str) -> dict[str, Any]:
     """Add a key to the withdrawn set and return where that is in force.
 
     It is in force everywhere once every listed daemon has confirmed it, or once the store and
@@ -48,7 +46,7 @@
         await anyio.sleep(CONFIRM_PERIOD_S)
 
 
-def _other_daemons(daemon: "Daemon") -> dict[str, str]:
+def _other_daemons(daemon: OperatedDaemon) -> dict[str, str]:
     """Return every listed daemon but this one with its data centre, suspected ones too."""
     return {
         host.name: host.data_centre
@@ -57,7 +55,7 @@
     }
 
 
-async def _store_withdrawal(daemon: "Daemon", key_id: str) -> bool:
+async def _store_withdrawal(daemon: OperatedDaemon, key_id: str) -> bool:
     try:
         await daemon.config_store.add_withdrawn({key_id})
     except AcaciarillError:
@@ -65,7 +63,7 @@
     return True
 
 
-async def _confirm(daemon: "Daemon", key_id: str, unconfirmed: dict[str, str]) -> None:
+async def _confirm(daemon: OperatedDaemon, key_id: str, unconfirmed: dict[str, str]) -> None:
     async def ask(name: str) -> None:
         message = messages.Withdrawals(key_ids=[key_id])
         try:
@@ -80,7 +78,7 @@
                 task_group.start_soon(ask, name)
 
 
-async def ask_daemons(daemon: "Daemon", revision: int) -> dict[str, Any]:
+async def ask_daemons(daemon: OperatedDaemon, revision: int) -> dict[str, Any]:
     """Return on which listed daemons a revision, or a later one, is in force."""
     in_force: list[str] = []
     behind: list[str] = []
--- a/tests/fakes/weakened.py
+++ b/tests/fakes/weakened.py
@@ -21,7 +21,7 @@
 import acaciarill.upstreams._client as upstream_client
 import acaciarill.upstreams._orders as orders
 import acaciarill.usage._reporter as reporter
-from acaciarill.operators import main
+from acaciarill.command_line import main
 
 PAUSE_FILE = "ACACIARILL_TEST_PAUSE"
 """Names a file: while it exists, a daemon stops itself right before it writes an order."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -7,8 +7,11 @@
 
 import anyio
 import anyio.abc
+import anyio.to_thread
 import orjson
+from click.testing import CliRunner
 
+from acaciarill.command_line import main
 from acaciarill.edge import HttpPool, Reply
 from acaciarill.fleet_daemon import FleetDaemon
 from acaciarill.platform._main import build_ports, fleet_settings
@@ -148,6 +151,17 @@
             self.assertEqual(reply.head.status, 401)
             self.assertEqual((await site.call("f1", "GET", "/none/")).head.status, 404)
 
+    async def test_status_command_shows_a_running_daemon(self) -> None:
+        async with self.site() as site:
+            address = site.daemons["f1"].settings.metrics_address
+            arguments = ["--daemon", f"http://{address}", "fleet-status", "--json"]
+            run = await anyio.to_thread.run_sync(lambda: CliRunner().invoke(main, arguments))
+            shown = orjson.loads(run.output)
+            self.assertEqual((shown["host"], shown["configuration"]), ("f1", 1))
+            self.assertTrue(shown["ready"])
+            reply = await site.pool.request(address, "GET", "/metrics", [])
+            self.assertIn(b"acaciarill_request_seconds", reply.body)
+
     async def test_withdrawn_key_stops_working_at_every_daemon(self) -> None:
         async with self.site() as site:
             site.store.put("config", "main", configuration(2, keys=("key-2",)))
