--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -16,14 +16,14 @@
 from acaciarill.fleet_daemon import FleetDaemon
 from acaciarill.platform._main import build_ports, fleet_settings
 from acaciarill.platform._settings import PlatformSettings
-from tests.fakes.platform import (
+from tests.fakes.ports import free_port
+from tests.platform.stand_in import (
     FakeCloud,
     FakeReplica,
     FakeStore,
     configuration,
     submission,
 )
-from tests.fakes.ports import free_port
 
 LIMIT_S = 40.0
 """Ends a test that hangs; nothing is measured against it."""
