Let daemons with callers follow the views of a daemon that watches the store

Cause: every daemon listed and watched every kind itself. Ruled out: fewer kinds (each is needed at each daemon), longer waits (a wait that ends costs one call of many; changes cost the most), stale reads (a view may then go back). Change: ViewFeed asks one keeper of the data centre for the changes after its positions, one call for all kinds; one elsewhere if that is silent or does not reach the store, then the store itself. Mirrors keep their last changes, and a listing no longer drops what was put after it was made. Views and ports of the fleet daemon have files of their own.

--- a/acaciarill/fleet_daemon/__init__.py
+++ b/acaciarill/fleet_daemon/__init__.py
@@ -1,7 +1,9 @@
 """Assemble a daemon that serves a shared fleet over ports built by its caller."""
 
-from ._daemon import ROLE_KEEPER, FleetDaemon, FleetKinds, FleetPorts, FleetSettings
+from ._daemon import FleetDaemon
 from ._peers import PeerService
+from ._ports import FleetKinds, FleetPorts, FleetSettings
+from .const import ROLE_KEEPER
 
 __all__ = [
     "ROLE_KEEPER",
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -16,6 +16,7 @@
 from ..mirrors import Mirror, MirrorFollower, Record
 from ..peers import PeerLinks, PeerServer, messages
 from ..peers.const import PROTOCOL_VERSION
+from ._feed import ViewServer
 
 MS_PER_S = 1000
 RELAY_GRACE_S = 0.3
@@ -64,6 +65,7 @@
             "collect_usage": self._on_collect_usage,
             "version_seen": self._on_version_seen,
             "own_batch": self._on_own_batch,
+            "watch_views": ViewServer(followers, members.clock).on_watch_views,
         }
 
     # Membership and views
--- /dev/null
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -0,0 +1,85 @@
+"""Name the settings of one process and the translations that its caller hands it."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+from ..batches import ObjectAccess, StreamEvent, Submission
+from ..control import OrderOutcome
+from ..edge import Request, Responder
+from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
+from ..leases import Lease
+from ..mirrors import KindSource, Record
+
+if TYPE_CHECKING:
+    from ._daemon import FleetDaemon
+
+
+@dataclass(slots=True, frozen=True)
+class FleetSettings:
+    """Hold what one process is told at its start; addresses are `ip:port`."""
+
+    host: str
+    data_centre: str
+    role: str
+    callers: str
+    readiness: str
+    peers: str
+    seeds: tuple[str, ...]
+    store: str
+    drain_s: float
+    usage_window_s: float
+    metrics_address: str
+
+
+@dataclass(slots=True, frozen=True)
+class FleetKinds:
+    """Name the kinds of objects that others write."""
+
+    configuration: str
+    upstreams: str
+    versions: str
+    retirements: str
+
+
+@dataclass(slots=True)
+class FleetPorts:
+    """Hold the translations between this daemon and its platform."""
+
+    kinds: FleetKinds
+    store: Callable[[StoreChannel], "FleetStore"]
+    codec: UpstreamCodec
+    decode_configuration: Callable[[dict[str, Record]], Configuration | None]
+    decode_upstream: Callable[[Record], Upstream | None]
+    decode_versions: Callable[[dict[str, Record]], dict[str, int]]
+    decode_submission: Callable[[bytes], Submission]
+    event_reader: Callable[[], Callable[[bytes], list[StreamEvent]]]
+    front: Callable[["FleetDaemon"], Callable[[Request, Responder], Awaitable[None]]]
+    duty_calls: Callable[["FleetDaemon"], "DutyPort"]
+    retired: Callable[[Record], bool]
+    retirement_status: dict[str, str]
+
+
+class FleetStore(ObjectAccess, KindSource, Protocol):
+    """Provide objects, listings and watches."""
+
+    async def put_status(self, key: str, version: int, value: Any) -> None:
+        """Replace the status of an object of that version; raise StoreError."""
+
+
+class DutyPort(Protocol):
+    """Make the calls that only the holder of the duty may make."""
+
+    async def report_usage(self, window: int, counts: dict[str, int], lease: Lease) -> bool:
+        """Report a window; tell whether it was taken. Raise AcaciarillError."""
+
+    async def order_count(self, service: str, data_centre: str, count: int, lease: Lease) -> bool:
+        """Order a number of upstreams; tell whether it was taken. Raise AcaciarillError."""
+
+    async def order_version(
+        self, state: UpstreamState, model: str, version: int, only_idle: bool, lease: Lease
+    ) -> OrderOutcome:
+        """Order an engine to load a version; raise AcaciarillError."""
+
+    async def read_version(self, state: UpstreamState, model: str) -> int | None:
+        """Return the version of a model that an engine reports; raise AcaciarillError."""
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -196,6 +196,25 @@
   3: i64 newest,
 }
 
+// Waits for changes of views after the given positions.
+struct WatchViews {
+  1: map<string, i64> positions,
+  2: i32 wait_ms,
+}
+
+// Holds the changes of one view, or all of its records where changes are no longer kept.
+struct ViewChanges {
+  1: i64 position,
+  2: i64 newest,
+  3: optional binary records,
+  4: optional binary changes,
+  5: optional double lost_s_ago,
+}
+
+struct ViewsChanged {
+  1: map<string, ViewChanges> views,
+}
+
 // Passes on a call to the object store for a host that the store turns away.
 struct StoreCall {
   1: string method,
@@ -290,6 +309,8 @@
   30: optional CollectedUsage collected_usage,
   31: optional VersionSeen version_seen,
   32: optional OwnBatch own_batch,
+  33: optional WatchViews watch_views,
+  34: optional ViewsChanged views_changed,
 }
 
 // What a trainer carries from pull to pull.
--- /dev/null
+++ b/tests/fleet_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package of the same name."""
--- a/tests/mirrors/test_mirror.py
+++ b/tests/mirrors/test_mirror.py
@@ -54,6 +54,28 @@
         mirror.apply(4, [Change(Record("b", 4, None))])
         self.assertEqual(told, [{}])
 
+    def test_object_put_after_an_older_listing_was_made_is_kept(self) -> None:
+        # A batch accepted here a moment ago is not in the view of the peer that is followed.
+        mirror = Mirror("kind")
+        mirror.replace(5, [Record("a", 5, None)])
+        mirror.put(Record("b", 9, "own"))
+        mirror.replace(7, [Record("a", 5, None)])
+        self.assertIn("b", mirror.records)
+        mirror.replace(10, [Record("a", 5, None)])
+        self.assertNotIn("b", mirror.records)
+
+    def test_changes_are_told_from_the_oldest_kept_on(self) -> None:
+        mirror = Mirror("kind")
+        mirror.replace(5, [])
+        first, second = Change(Record("a", 6, None)), Change(Record("a", 8, None), gone=True)
+        mirror.apply(7, [first])
+        mirror.apply(8, [second])
+        self.assertEqual(mirror.changes_after(5), [first, second])
+        self.assertEqual(mirror.changes_after(7), [second])
+        self.assertIsNone(mirror.changes_after(4))
+        decoded = Mirror.decode_changes(Mirror.encode_changes([first, second]))
+        self.assertEqual(decoded, [first, second])
+
     def test_peer_gets_what_was_encoded(self) -> None:
         mirror = Mirror("kind")
         mirror.replace(2, [Record("a", 2, {"x": 1}, {"state": "done"})])
@@ -82,6 +104,25 @@
         self.assertEqual(source.calls, ["list", "watch 1", "list", "watch 8"])
         self.assertEqual(mirror.records["a"].value, "missed")
 
+    async def test_paused_follower_leaves_the_store_alone_and_lists_when_resumed(self) -> None:
+        source = FakeSource()
+        source.listings = [(1, []), (8, [Record("a", 5, "missed")])]
+        mirror = Mirror("kind")
+        follower = MirrorFollower(mirror, source, lambda: 0.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            while len(source.calls) < 2:  # noqa: ASYNC110
+                await anyio.sleep(0)
+            follower.pause()
+            await anyio.sleep(0.05)
+            self.assertEqual(source.calls, ["list", "watch 1"])
+            follower.resume()
+            while len(source.calls) < 4:  # noqa: ASYNC110
+                await anyio.sleep(0)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(source.calls[2:], ["list", "watch 8"])
+        self.assertIn("a", mirror.records)
+
     async def test_dropped_history_is_listed(self) -> None:
         source = FakeSource()
         source.listings = [(1, []), (8, [])]
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -267,13 +267,13 @@
             front = site.daemons["f1"]
             site.store.turned_away = lambda request: True
             site.store.cut_watches()
-            await until(lambda: not front.followers["servers"].reached)
+            await until(lambda: not front.views.followers["servers"].reached)
             site.store.kinds["servers"].clear()
             site.store.revision += 1
             site.store.cut = False
             site.store.turned_away = lambda request: False
-            await until(lambda: front.followers["servers"].reached)
-            kept_s = min(end for _, end in front.vanished.values()) - front.clock()
+            await until(lambda: front.views.followers["servers"].reached)
+            kept_s = min(end for _, end in front.views.vanished.values()) - front.clock()
             self.assertGreater(kept_s, 1.5)
             self.assertEqual((await site.call("f1", "POST", "/p/1")).head.status, 200)
             await until(lambda: not front.table.states)
