Hand the product's daemon its ports, and name a taken address in one line

Cause: Daemon built its own clients from the settings, so nothing else could be put in their place; dev checked the daemon's three ports only, and a taken port of a stand-in ended in pages of tracebacks (seen with port 2 of the base taken). Ruled out: a class per port: the clients of the object store, host list, scorers and weight store exist; orders and reports become functions that their packages build. Change: acaciarill/ports.py builds DaemonPorts, run_daemon and dev hand them in; check_free in addresses.py probes every address that dev listens on.

--- a/acaciarill/capacity/__init__.py
+++ b/acaciarill/capacity/__init__.py
@@ -1,6 +1,14 @@
 """Order upstreams by data centre, sized to the demand."""
 
-from ._orders import CapacityOrders
+from ._orders import CapacityOrders, OrderCounts, counts_orderer
 from ._plan import Demand, Plan, cheap_allowance, plan_target
 
-__all__ = ["CapacityOrders", "Demand", "Plan", "cheap_allowance", "plan_target"]
+__all__ = [
+    "CapacityOrders",
+    "Demand",
+    "OrderCounts",
+    "Plan",
+    "cheap_allowance",
+    "counts_orderer",
+    "plan_target",
+]
--- a/acaciarill/capacity/_orders.py
+++ b/acaciarill/capacity/_orders.py
@@ -1,6 +1,7 @@
 """Keep the intent of an order in the store, then send it under the lease."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 from uuid import uuid4
 
 import orjson
@@ -14,6 +15,18 @@
 from ._plan import Demand, Plan, plan_target
 from .const import INTENT_PREFIX
 
+OrderCounts = Callable[[OrderSender, str, int, dict[str, Any]], Awaitable[Any]]
+"""Send an order of upstreams for a data centre under an epoch; raise AcaciarillError."""
+
+
+def counts_orderer(base_url: str) -> OrderCounts:
+    """Return the orders to the capacity interface at an address."""
+
+    async def order(sender: OrderSender, data_centre: str, epoch: int, counts: dict) -> Any:
+        return await sender.send("PUT", f"{base_url}/orders/{data_centre}", epoch, counts)
+
+    return order
+
 
 class CapacityOrders:
     """Order one data centre's upstreams with absolute, repeatable orders."""
@@ -25,14 +38,14 @@
         demand_of: Callable[[str, str], Demand | None],
         store: ObjectStore,
         sender: OrderSender,
-        base_url: str,
+        order_counts: OrderCounts,
     ) -> None:
         self.data_centre = data_centre
         self.config = config
         self.demand_of = demand_of
         self.store = store
         self.sender = sender
-        self.base_url = base_url
+        self.order_counts = order_counts
         self.plans: dict[str, Plan] = {}
         self.sent: dict[str, object] = {}
 
@@ -73,9 +86,8 @@
         await self.store.put(name, orjson.dumps(intent), found[1] if found else 0)
 
     async def _send(self, intent: dict, lease: Lease) -> None:
-        url = f"{self.base_url}/orders/{self.data_centre}"
         order = {"order_id": intent["order_id"], "counts": intent["counts"]}
-        answer = await self.sender.send("PUT", url, lease.epoch, order)
+        answer = await self.order_counts(self.sender, self.data_centre, lease.epoch, order)
         self.sent = intent
         for target, granted in answer.get("granted", {}).items():
             if target in self.plans:
--- a/acaciarill/daemon.py
+++ b/acaciarill/daemon.py
@@ -28,24 +28,22 @@
 from .daemons.const import HEARTBEAT_PERIOD_S
 from .data_folder import DataFolder
 from .duties import DutyManager
-from .host_list import HostListClient
-from .object_store import ObjectStore
 from .operators import OperatorsApp
 from .peers import PeerLinks, PeerServer, messages
 from .peers.const import PROTOCOL_VERSION
-from .scorers import ScorerClient
+from .ports import DaemonPorts, build_ports
 from .settings import Settings
 from .store_watcher import StoreWatcher
 from .telemetry import Telemetry
 from .timer import TimerService
 from .tls import RELOAD_PERIOD_S, TlsContexts
 from .trainers import SampleHolder, StepsApp, StepService
-from .upstreams import Dispatcher, OrderSender, UpstreamClient, UpstreamCoordinator
+from .upstreams import Dispatcher, OrderSender, UpstreamCoordinator
 from .upstreams.const import LOAD_POLL_PERIOD_S
 from .usage import SlotStore, UsageCounter, UsageReporter
 from .usage.const import COPY_PERIOD_S, FLUSH_PERIOD_S
 from .web import serve_app
-from .weight_store import Rollout, WeightStoreClient
+from .weight_store import Rollout
 from .weight_store.const import ROLLOUT_PERIOD_S
 
 DRAIN_NOTICE_S = 1.0
@@ -72,9 +70,14 @@
     """Hold the parts of one daemon; all run on one loop and one thread."""
 
     def __init__(
-        self, settings: Settings, task_group: anyio.abc.TaskGroup, timer: TimerService | None = None
+        self,
+        settings: Settings,
+        ports: DaemonPorts,
+        task_group: anyio.abc.TaskGroup,
+        timer: TimerService | None = None,
     ) -> None:
         self.settings = settings
+        self.ports = ports
         self.task_group = task_group
         self.timer = timer or TimerService()
         clock = self.timer.now
@@ -96,8 +99,8 @@
 
     def _build_peers(self, clock: Callable[[], float]) -> None:
         settings = self.settings
-        self.client = UpstreamClient()
-        self.store = ObjectStore(settings.object_api, self.client.http)
+        self.client = self.ports.upstreams
+        self.store = self.ports.store
         self.config_store = ConfigStore(self.store)
         self.tls = TlsContexts(settings)
         self.server = PeerServer(settings.daemons, self.tls.peer_server)
@@ -108,7 +111,6 @@
             data_centre=settings.data_centre,
         )
         self.links = PeerLinks(greeting, self.task_group, self.tls.peer_client)
-        host_list = HostListClient(settings.host_list, self.client.http)
         self.loads = LoadTable(self.config, settings.data_centre, clock)
         self.admission = Admission(settings.max_concurrent, self._share_of, self._allowance_of)
         self.demand = DemandTable(self.config, clock, self.admission.demand)
@@ -117,7 +119,7 @@
             self.config,
             self.links,
             self.server,
-            host_list,
+            self.ports.host_list,
             self.loads,
             self.demand,
             clock,
@@ -146,7 +148,7 @@
         self.holder = SampleHolder(
             self.config,
             self.dispatcher,
-            ScorerClient(self.client.http),
+            self.ports.scorer,
             self.usage,
             self.telemetry,
             clock,
@@ -179,7 +181,7 @@
             self._demand_of,
             self.store,
             self._sender(f"orders/{data_centre}"),
-            self.settings.capacity,
+            self.ports.order_counts,
         )
         self.duties.add(
             f"orders/{data_centre}",
@@ -192,7 +194,7 @@
             data_centre,
             self.config,
             self.upstreams,
-            WeightStoreClient(self.settings.weight_store, self.client.http),
+            self.ports.weight_store,
             self._sender(f"weights/{data_centre}"),
             self.timer.now,
         )
@@ -212,7 +214,7 @@
             if name in self.duties.duties:
                 continue
             reporter = UsageReporter(
-                owner, self.usage, self.store, self._sender(name), self.settings.usage, time.time
+                owner, self.usage, self.store, self._sender(name), self.ports.send_report, time.time
             )
             self.duties.add(name, reporter.run_once, REPORT_PERIOD_S)
 
@@ -342,7 +344,7 @@
 
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(watch_signals)
-        await Daemon(settings, task_group).run(stop)
+        await Daemon(settings, build_ports(settings), task_group).run(stop)
         task_group.cancel_scope.cancel()
     # The receiver restores the default action, which would turn a late signal into a failure.
     signal.signal(signal.SIGTERM, signal.SIG_IGN)
--- a/acaciarill/dev.py
+++ b/acaciarill/dev.py
@@ -1,7 +1,6 @@
 """Run one daemon with stand-ins for the whole platform in one process."""
 
 import signal
-import socket
 import tempfile
 from importlib import resources
 from pathlib import Path
@@ -9,11 +8,11 @@
 import anyio
 import click
 
-from .addresses import split_address
+from .addresses import check_free
 from .config import Document, Route
 from .config.const import ACCESS_OPEN
 from .daemon import Daemon
-from .errors import ConfigError, ConfigFault
+from .ports import build_ports
 from .settings import Settings
 from .stand_ins.everything import EntryHost, Everything, load_document, platform_urls
 
@@ -45,16 +44,17 @@
         trace_ratio=1.0,
         **platform_urls(base_port),
     )
-    _check_ports(settings)
     folder = Path(tempfile.mkdtemp(prefix="acaciarill-dev-"))
     entry = EntryHost(settings.host, data_centre, settings.daemons)
     everything = Everything(document, base_port, folder, [entry])
+    own = (settings.callers, settings.operators, settings.daemons)
+    check_free("dev", [*own, *(address for _, address in everything.served)])
     everything.accept_configuration()
     stop, stop_stand_ins = anyio.Event(), anyio.Event()
     async with anyio.create_task_group() as stand_ins:
         stand_ins.start_soon(everything.run, stop_stand_ins)
         async with anyio.create_task_group() as task_group:
-            daemon = Daemon(settings, task_group)
+            daemon = Daemon(settings, build_ports(settings), task_group)
             await task_group.start(daemon.run, stop)
             _print_hints(document, settings, folder)
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -66,18 +66,6 @@
         stop_stand_ins.set()
 
 
-def _check_ports(settings: Settings) -> None:
-    """Raise ConfigError naming the first address of the daemon that is taken."""
-    for address in (settings.callers, settings.operators, settings.daemons):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(split_address(address))
-            except OSError as error:
-                fault = ConfigFault("dev", "listen", address, f"cannot be used: {error.strerror}")
-                raise ConfigError([fault]) from error
-
-
 def _print_hints(document: Document, settings: Settings, folder: Path) -> None:
     base = f"http://{settings.callers}"
     click.echo(f"acaciarill is ready; the stand-ins record what they see in {folder}")
--- a/acaciarill/usage/__init__.py
+++ b/acaciarill/usage/__init__.py
@@ -1,15 +1,17 @@
 """Count, seal and report usage windows."""
 
 from ._counter import Figures, UsageCounter
-from ._reporter import UsageReporter
+from ._reporter import SendReport, UsageReporter, report_sender
 from ._sealing import SealedWindow, seal_window
 from ._slots import SlotStore
 
 __all__ = [
     "Figures",
     "SealedWindow",
+    "SendReport",
     "SlotStore",
     "UsageCounter",
     "UsageReporter",
+    "report_sender",
     "seal_window",
 ]
--- a/acaciarill/usage/_reporter.py
+++ b/acaciarill/usage/_reporter.py
@@ -1,7 +1,8 @@
 """Seal ended windows and report them under a lease."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import Any
 
 import orjson
 from eliot import log_message
@@ -23,6 +24,20 @@
     SLOT_PREFIX,
 )
 
+SendReport = Callable[[OrderSender, str, int, int, dict[str, Any]], Awaitable[Any]]
+"""Send a customer's report of a window under an epoch; raise AcaciarillError."""
+
+
+def report_sender(base_url: str) -> SendReport:
+    """Return the reports to the usage interface at an address."""
+
+    async def send(
+        sender: OrderSender, customer: str, window: int, epoch: int, report: dict
+    ) -> Any:
+        return await sender.send("PUT", f"{base_url}/reports/{customer}/{window}", epoch, report)
+
+    return send
+
 
 class UsageReporter:
     """Report one owner's windows in order; only a sealed figure is ever sent."""
@@ -33,14 +48,14 @@
         counter: UsageCounter,
         store: ObjectStore,
         sender: OrderSender,
-        base_url: str,
+        send_report: SendReport,
         wall_clock: Callable[[], float],
     ) -> None:
         self.owner = owner
         self.counter = counter
         self.store = store
         self.sender = sender
-        self.base_url = base_url
+        self.send_report = send_report
         self.wall_clock = wall_clock
         self.late = 0
         self.epoch = 0
@@ -58,8 +73,8 @@
         while window + length + grace_s <= self.wall_clock():
             sealed = await self._seal(window, length)
             for customer in sealed.customers():
-                url = f"{self.base_url}/reports/{customer}/{window}"
-                await self.sender.send("PUT", url, lease.epoch, sealed.report(customer))
+                report = sealed.report(customer)
+                await self.send_report(self.sender, customer, window, lease.epoch, report)
             name = PROGRESS_PREFIX + self.owner
             self.epoch = 0  # read again unless this write is known to have taken effect
             progress = orjson.dumps({"window": window})
--- a/tests/command_line/test_command_line.py
+++ b/tests/command_line/test_command_line.py
@@ -15,6 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciarill.dev import CALLERS_OFFSET
 from tests.fakes.fleet import ROOT, Fleet, bearer, example, wait_for
 
 FILINGS, LEDGER, LOOKUP = "/almaty/filings/x", "/almaty/ledger", "/almaty/lookup"
@@ -108,6 +109,18 @@
         done = self.run_command("--daemon", "http://127.0.0.1:9", "status")
         self.assertEqual(done.returncode, 5)
 
+    def test_dev_names_an_address_that_is_taken_in_one_line(self) -> None:
+        for offset in (CALLERS_OFFSET, 2):  # one of the daemon's, one of a stand-in's
+            with socket.socket() as taken:
+                taken.bind(("127.0.0.1", 0))
+                taken.listen()
+                port = taken.getsockname()[1]
+                done = self.run_command("dev", "--base-port", str(port - offset))
+            self.assertEqual(done.returncode, 3)
+            lines = done.stderr.strip().splitlines()
+            self.assertEqual(len(lines), 1, done.stderr)
+            self.assertIn(f"127.0.0.1:{port}", lines[0])
+
     def test_every_command_shows_an_example(self) -> None:
         commands = ["serve", "dev", "config check", "config apply", "config show", "status"]
         commands += ["config history", "config diff", "key grant", "key withdraw", "key list"]
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -5,7 +5,7 @@
 from acaciarill.config import ConfigCoordinator
 from acaciarill.errors import AcaciarillError, Step
 from acaciarill.leases import Lease
-from acaciarill.usage import Figures, UsageCounter, UsageReporter
+from acaciarill.usage import Figures, UsageCounter, UsageReporter, report_sender
 from acaciarill.usage._counter import SlotKey
 from acaciarill.usage._slots import slot_name
 from tests.fakes.store import FakeStore
@@ -40,7 +40,12 @@
 
     def new_reporter(self) -> UsageReporter:
         return UsageReporter(
-            "almaty", self.counter, self.store, self.sender, "http://usage", lambda: self.now
+            "almaty",
+            self.counter,
+            self.store,
+            self.sender,
+            report_sender("http://usage"),
+            lambda: self.now,
         )
 
     async def write_slot(self, window: int, incarnation: str, requests: int) -> None:
