Split the book of batches, and do not read the log of a batch that nobody has owned

Ruled out: an owner's flag in the hand-over message: the head's epoch tells the same, once a planned hand-over raises it like a takeover does. A wrong guess costs a rerun, never a position: the log is create only, and an append that meets a segment reads on.

--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -5,6 +5,9 @@
 
 import orjson
 
+FIRST_EPOCH = 1
+"""Counts the owners of a batch; each change of the owner adds one."""
+
 
 @dataclass(slots=True, frozen=True)
 class ScoreCall:
@@ -52,7 +55,7 @@
     parts: int
     digest: str
     owner: str
-    epoch: int = 1
+    epoch: int = FIRST_EPOCH
     ended: bool = False
 
     def encode(self) -> bytes:
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -19,7 +19,7 @@
     UpstreamState,
 )
 from ._log import ResultLog
-from ._model import BatchHead, Item, Result, ScoreCall, StreamEvent, Submission
+from ._model import FIRST_EPOCH, BatchHead, Item, Result, ScoreCall, StreamEvent, Submission
 from ._scheduler import EngineScheduler, Place, Run
 from ._texts import Text, TextStore
 from .const import (
@@ -94,7 +94,8 @@
     async def run(self) -> None:
         """Run until every item is listed, or `scope` is cancelled."""
         with self.scope:
-            await self.log.load()
+            if self.head.epoch > FIRST_EPOCH:  # else nobody has listed anything yet
+                await self.log.load()
             self.ready.clear()  # of an earlier run that failed: its items are known by now
             pending = [item for item in self.submission.items if item.id not in self.log.listed]
             self.unfinished = len(pending)
--- a/acaciarill/control/_weights.py
+++ b/acaciarill/control/_weights.py
@@ -4,6 +4,7 @@
 one set of engines, loading every version everywhere would leave no time to generate.
 """
 
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -24,6 +25,9 @@
 """A step takes tokens of the version before the one that was named for it, as the sheets say."""
 IDLE_LOAD_AFTER_S = 0.6
 """An engine that is still usable is not loaded right after a naming, when the step arrives."""
+CURRENT_SHARE = 2 / 3
+"""An engine need not load each version: loads are priced, and one that is a version behind serves.
+With this share current, those that a new version makes unusable are at most two of six."""
 LOAD_S = 0.95
 """How long a load takes when no more run than the site allows."""
 LOAD_CHECK_S = 0.15
@@ -126,8 +130,12 @@
     """Return the loads to order now.
 
     Engines that open steps cannot use go first. Of the others, half of each model's engines go at
-    once, so that never all of them fall two versions behind together; the rest when they are idle.
+    once, so that never all of them fall two versions behind together; some more when they are idle.
     """
+
+    def wanted(engines: int) -> int:
+        return math.ceil(engines * CURRENT_SHARE)
+
     busy = [state for state in states if _is_loading(state, loading, now)]
     busy_homes = Counter(homes.get(state.upstream.id, "") for state in busy)
     newest = Counter(
@@ -147,8 +155,9 @@
         if behind > USABLE_LAG or (behind and newest[model] < total[model] // 2):
             newest[model] += 1
             loads.append(Load(state, model, named[model], True))
-        elif behind and rested and not busy_homes[model]:
+        elif behind and rested and not busy_homes[model] and newest[model] < wanted(total[model]):
             busy_homes[model] += 1
+            newest[model] += 1
             loads.append(Load(state, model, named[model], False))
     loads.sort(key=lambda load: (not load.urgent, -_behind(load.state, load.model, named)))
     return loads[: max(0, at_once - len(busy))]
--- a/acaciarill/platform/_front.py
+++ b/acaciarill/platform/_front.py
@@ -80,7 +80,7 @@
                 customer = self._customer(configuration, request, route)
                 if route.kind is RouteKind.BATCH:
                     kind = "submission"
-                    await self.book.accept(
+                    await self.book.acceptance.accept(
                         request.get(HEADER_REQUEST_ID), customer, route.host, path, request.body
                     )
                     status = 202
@@ -168,14 +168,14 @@
         if path.startswith(PATH_ITEMS) and request.method == "GET":
             batch_id = unquote(path.removeprefix(PATH_ITEMS))
             item_id = fields.get("id", [""])[0]
-            body = await self.book.item_body(batch_id, customer, item_id)
+            body = await self.book.reader.item_body(batch_id, customer, item_id)
         elif request.method == "GET":
             batch_id = unquote(path.removeprefix(PATH_BATCHES))
             page = await self._read(request, batch_id, customer, fields)
             headers, body = JSON_HEADERS, encode_page(page)
         elif request.method == "DELETE" and path.startswith(PATH_BATCHES):
             batch_id = unquote(path.removeprefix(PATH_BATCHES))
-            await self.book.end(batch_id, customer)
+            await self.book.acceptance.end(batch_id, customer)
             self._log(request, 200, batch=batch_id, ended=True)
         else:
             raise BadRequestError("unknown call", step=Step.PARSE, status=405)
@@ -190,7 +190,9 @@
             raise BadRequestError("after must be a number", step=Step.PARSE)
         wait_text = request.get(HEADER_WAIT_MS)
         wait_ms = min(MAX_WAIT_MS, int(wait_text)) if wait_text.isdigit() else 0
-        return await self.book.results(batch_id, customer, int(after_text), wait_ms / MS_PER_S)
+        return await self.book.reader.results(
+            batch_id, customer, int(after_text), wait_ms / MS_PER_S
+        )
 
     async def _fail(self, request: Request, responder: Responder, error: AcaciarillError) -> int:
         status = error.status
--- a/tests/control/test_weights.py
+++ b/tests/control/test_weights.py
@@ -60,6 +60,13 @@
         engines = [engine(f"e{i}", a=4) for i in range(4)]
         self.assertEqual(self.choose(engines, 5, 0.0), [("e0", True), ("e1", True)])
 
+    def test_engines_ordered_on_top_skip_a_version_in_turn(self) -> None:
+        # Loads beyond those of the engines at the start are priced.
+        engines = [engine(f"e{i}", a=5 if i < 4 else 4) for i in range(6)]
+        self.assertEqual(self.choose(engines, 5, 1.0), [])
+        loads = self.choose(engines, 6, 0.1)
+        self.assertEqual(loads, [("e4", True), ("e5", True)])
+
     def test_engines_two_versions_behind_are_loaded_at_once(self) -> None:
         engines = [engine("e1", a=4), engine("e2", a=3), engine("e3", a=3), engine("e4", a=3)]
         self.assertEqual(self.choose(engines, 5, 0.0), [("e2", True), ("e3", True)])
