Wait for a configuration as new as the batch before its route counts as gone

The start had become slower with the feed: a keeper that is on the list but gone was asked first. Ruled out: handing batches to ready daemons only: a takeover finds the same state. Change: a head holds the configuration's version; the runner waits for it before it gives an item up. A starting daemon lists from the store at once and leaves it when a peer is followed.

--- a/acaciarill/batches/_acceptance.py
+++ b/acaciarill/batches/_acceptance.py
@@ -44,8 +44,18 @@
         self.hand = hand
         self.true_time = true_time
 
-    async def accept(self, batch_id: str, customer: str, host: str, path: str, body: bytes) -> None:
-        """Make a batch durable, once; raise AcaciarillError.
+    async def accept(
+        self,
+        batch_id: str,
+        customer: str,
+        host: str,
+        path: str,
+        body: bytes,
+        configuration: int,
+    ) -> None:
+        """Make a batch durable, once, under a version of the configuration.
+
+        Raise AcaciarillError.
 
         The error's outcome is NOT_RUN only when the head surely was not written.
         """
@@ -65,6 +75,7 @@
             parts=len(parts),
             digest=digest,
             owner=self.choose_owner(customer, path),
+            configuration=configuration,
         )
         with anyio.move_on_after(ACCEPT_LIMIT_S):
             for index, part in enumerate(parts):
--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -45,7 +45,10 @@
 
 @dataclass(slots=True, frozen=True)
 class BatchHead:
-    """Hold the small object that makes a batch accepted; `submitted_at` is in true time, s."""
+    """Hold the small object that makes a batch accepted; `submitted_at` is in true time, s.
+
+    `configuration` is the version under which it was accepted.
+    """
 
     customer: str
     host: str
@@ -57,6 +60,7 @@
     owner: str
     epoch: int = FIRST_EPOCH
     ended: bool = False
+    configuration: int = 0
 
     def encode(self) -> bytes:
         """Return the head as JSON."""
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -28,6 +28,7 @@
     FAILED_PAUSE_S,
     FULL_PAUSE_S,
     REQUEST_ID_PLACE,
+    ROUTE_POLL_S,
     SCORE_RETRY_S,
     SCORE_TIMEOUT_S,
     STATE_COMPLETED,
@@ -115,12 +116,22 @@
         """End all runs; engines drop them when their connections close."""
         self.scope.cancel()
 
-    def _route(self) -> Route | None:
-        configuration = self.ports.configuration()
-        return configuration.match(self.head.host, self.head.path) if configuration else None
+    async def _route(self, host: str, path: str) -> Route:
+        """Return a route; waits while the configuration here is older than the batch."""
+        while True:
+            configuration = self.ports.configuration()
+            route = configuration.match(host, path) if configuration is not None else None
+            if route is not None:
+                return route
+            if configuration is not None and configuration.version >= self.head.configuration:
+                raise _Impossible("the route is gone")
+            await anyio.sleep(ROUTE_POLL_S)
+
+    async def _own_route(self) -> Route:
+        return await self._route(self.head.host, self.head.path)
 
-    def _given_up(self, route: Route | None) -> bool:
-        if route is None or not route.max_queue_s:
+    def _given_up(self, route: Route) -> bool:
+        if not route.max_queue_s:
             return False
         return self.ports.true_time() > self.head.submitted_at + route.max_queue_s
 
@@ -139,26 +150,9 @@
             self.unfinished -= len(ready)
 
     async def _run_item(self, item: Item, wanted: bool) -> None:
-        minimum, route = self.submission.min_version, self._route()
-        single = route is not None and route.single_version
-        known = self.texts.result(item, minimum, single)
-        if known is not None:
-            log_message(message_type="item:known", batch=self.batch_id, request=item.id)
-            self._finish(item, known)
-            return
-        text = self.texts.text(item, minimum, single)
         result = Result(item.id, STATE_FAILED)
         try:
-            if await self._generate(item, wanted, text):
-                score = await self._score(item.score) if item.score is not None else None
-                result = Result(
-                    item.id,
-                    STATE_COMPLETED,
-                    "\n".join(text.events),
-                    tuple(sorted(text.versions)),
-                    score,
-                )
-                self.texts.keep_result(item, result)
+            result = await self._complete(item, wanted)
         except _Impossible as reason:
             log_message(
                 message_type="item:given_up",
@@ -168,6 +162,21 @@
             )
         self._finish(item, result)
 
+    async def _complete(self, item: Item, wanted: bool) -> Result:
+        minimum, route = self.submission.min_version, await self._own_route()
+        known = self.texts.result(item, minimum, route.single_version)
+        if known is not None:
+            log_message(message_type="item:known", batch=self.batch_id, request=item.id)
+            return known
+        text = self.texts.text(item, minimum, route.single_version)
+        await self._generate(item, wanted, text)
+        score = await self._score(item.score) if item.score is not None else None
+        output = "\n".join(text.events)
+        versions = tuple(sorted(text.versions))
+        result = Result(item.id, STATE_COMPLETED, output, versions, score)
+        self.texts.keep_result(item, result)
+        return result
+
     def _finish(self, item: Item, result: Result) -> None:
         self.ready.append(result)
         self.some_ready.set()
@@ -175,14 +184,12 @@
         if not self.missing[item.group]:
             self.wakeup.set()
 
-    async def _generate(self, item: Item, wanted: bool, text: Text) -> bool:
-        """Generate the whole text, resuming on other engines; False when it was given up."""
+    async def _generate(self, item: Item, wanted: bool, text: Text) -> None:
+        """Generate the whole text, resuming on other engines; raise _Impossible."""
         failures = 0
         avoid = ""
         while True:
-            route = self._route()
-            if route is None:
-                raise _Impossible("the route is gone")
+            route = await self._own_route()
             if self._given_up(route):
                 raise _Impossible("it waited too long")
             place = self._place(item, wanted, route, text, avoid)
@@ -203,7 +210,7 @@
                 ran_s=round(self.ports.clock() - started - waited, 3),
             )
             if status == STATUS_OK and not reason:
-                return True
+                return
             if status == STATUS_IMPOSSIBLE:
                 raise _Impossible("the engine says that it can never be done")
             if status == STATUS_FAILED and reason == "failed":
@@ -318,10 +325,7 @@
         """Return the proof of a finished scoring call."""
         errors = 0
         while True:
-            configuration = self.ports.configuration()
-            route = configuration.match(score.host, score.path) if configuration else None
-            if route is None:
-                raise _Impossible("the scoring route is gone")
+            route = await self._route(score.host, score.path)
             call = Call(
                 score.id,
                 "POST",
@@ -345,6 +349,6 @@
             errors += call.error_replies
             if errors >= route.max_attempts:
                 raise _Impossible("every scoring attempt failed")
-            if self._given_up(self._route()):
+            if self._given_up(await self._own_route()):
                 raise _Impossible("scoring waited too long")
             await anyio.sleep(SCORE_RETRY_S)
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -17,6 +17,8 @@
 APPEND_RETRY_S = 0.2
 ACCEPT_RETRY_S = 0.15
 RUN_RETRY_S = 0.3
+ROUTE_POLL_S = 0.1
+"""How often an owner looks whether its configuration has become as new as its batch."""
 ACCEPT_LIMIT_S = 8.0
 """Acceptance is settled for at most so long; callers wait 12 s."""
 READ_RETRY_S = 0.3
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -104,9 +104,7 @@
         self.peers.table = self.table
         self.feed: ViewFeed | None = None
         if settings.role == ROLE_FRONT:
-            self.feed = ViewFeed(
-                self.members, self.peers.links, self.views.followers, KIND_MEMBERS, self.clock
-            )
+            self.feed = ViewFeed(self.members, self.peers.links, self.views.followers, self.clock)
         else:
             self.views.on_configuration(
                 lambda: self.task_group.start_soon(self.peers.announce)  # to all, at once
--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -14,10 +14,8 @@
     FEED_AVOID_S,
     FEED_FAILING_S,
     FEED_GRACE_S,
-    FEED_POLL_S,
     FEED_REFUSED_S,
     FEED_RETRY_S,
-    FEED_START_S,
     FEED_WAIT_S,
     ROLE_KEEPER,
 )
@@ -34,7 +32,6 @@
         members: Members,
         links: PeerLinks,
         followers: Followers,
-        first_kind: str,
         clock: Callable[[], float],
     ) -> None:
         self.members = members
@@ -43,15 +40,9 @@
         self.clock = clock
         self.watcher: str | None = None
         self.avoided: dict[str, float] = {}
-        for kind, follower in followers.items():
-            if kind != first_kind:  # the list of daemons, which names the watchers
-                follower.pause()
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        with anyio.move_on_after(FEED_START_S):
-            while self.choose() is None:  # noqa: ASYNC110
-                await anyio.sleep(FEED_POLL_S)
         while True:
             watcher = self.choose()
             if watcher is None:
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -28,6 +28,3 @@
 FEED_RETRY_S = 0.25
 FEED_FAILING_S = 1.0
 """A view that was not followed for so long is not passed on; a cut watch is back within 0.3 s."""
-FEED_START_S = 0.3
-"""How long a starting daemon looks for a peer to follow before it asks the store itself."""
-FEED_POLL_S = 0.05
--- a/acaciarill/platform/_front.py
+++ b/acaciarill/platform/_front.py
@@ -81,7 +81,12 @@
                 if route.kind is RouteKind.BATCH:
                     kind = "submission"
                     await self.book.acceptance.accept(
-                        request.get(HEADER_REQUEST_ID), customer, route.host, path, request.body
+                        request.get(HEADER_REQUEST_ID),
+                        customer,
+                        route.host,
+                        path,
+                        request.body,
+                        configuration.version,
                     )
                     status = 202
                     await responder.answer(status, [])
--- a/tests/fleet_daemon/test_feed.py
+++ b/tests/fleet_daemon/test_feed.py
@@ -79,7 +79,6 @@
             self.members,
             self.links,  # type: ignore[arg-type]
             self.followers,
-            "daemons",
             lambda: self.now,
         )
 
