Model a batch's life, with each guard shown necessary

Ruled out: three epochs and two late writes at once: over 3,000,000 states; the bound is two epochs and one late write, 635,287 states. Without any one of the six guards a counter example of 4 to 7 steps is found.

--- a/tests/models/test_models.py
+++ b/tests/models/test_models.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.models import config_head, cursor, lease
+from tests.models import batch_life, config_head, cursor, lease
 from tests.models.explorer import explore
 
 
@@ -49,6 +49,24 @@
                 self.assertIsNotNone(found.counter_example)
 
 
+class BatchLifeModelTest(unittest.TestCase):
+    """An accepted batch is kept, refusals are true, each item keeps its one position."""
+
+    def explore(self, guards: frozenset[str]):
+        found = explore(batch_life.State(), batch_life.steps(guards), batch_life.broken)
+        print(f"\nlife of a batch: {found.states} states", found.counter_example or "")
+        return found
+
+    def test_all_guards(self) -> None:
+        self.assertIsNone(self.explore(batch_life.ALL_GUARDS).counter_example)
+
+    def test_each_removed_guard_has_a_counter_example(self) -> None:
+        for guard in sorted(batch_life.ALL_GUARDS):
+            with self.subTest(guard):
+                found = self.explore(batch_life.ALL_GUARDS - {guard})
+                self.assertIsNotNone(found.counter_example)
+
+
 class CursorModelTest(unittest.TestCase):
     """Each slot counts at most once along the chain of cursors."""
 
