Open attempts to upstreams in one place

Cause: the opening of an attempt stood three times: in forwarding, in streams and in the batches' runner. Ruled out: one loop of attempts for all three: their rules for retries differ. Change: fleet/_attempts.py holds Attempt, the codec and AttemptSender.open, which also notes the load that an answer tells; streams did not note it before.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -7,15 +7,14 @@
 import anyio
 from eliot import log_message
 
-from ..edge import HttpPool
 from ..errors import AcaciarillError, Outcome, UpstreamError
 from ..fleet import (
     Attempt,
+    AttemptSender,
     Call,
     Configuration,
     Forwarder,
     Route,
-    UpstreamCodec,
     UpstreamState,
 )
 from ._log import ResultLog
@@ -44,10 +43,9 @@
 class RunnerPorts:
     """Hold what runners share: engines, scoring, the configuration and the clocks."""
 
-    pool: HttpPool
+    sender: AttemptSender
     scheduler: EngineScheduler
     forwarder: Forwarder
-    codec: UpstreamCodec
     event_reader: Callable[[], Callable[[bytes], Iterable[StreamEvent]]]
     configuration: Callable[[], Configuration | None]
     clock: Callable[[], float]
@@ -244,18 +242,16 @@
             self.head.customer,
             resume_after=text.last_id,
         )
-        own = [(b"Host", self.head.host.encode()), *item.headers]
-        headers = ports.codec.encode([*own, (REQUEST_ID_PLACE, item.id.encode())], attempt)
         place = self._place(item, True, route, text, state.upstream.id)
         run = Run(place, state, ports.clock())
         ports.scheduler.runs.append(run)
         try:
             with run.scope:
-                return await self._stream(item, route, text, run, headers)
+                return await self._stream(item, route, text, run, attempt)
             return 0, run.stopped
         except UpstreamError as error:
             state.note_failure(ports.clock())
-            ports.pool.forget(state.upstream.address)
+            ports.sender.pool.forget(state.upstream.address)
             return 0, error.message
         finally:
             ports.scheduler.runs.remove(run)
@@ -266,23 +262,20 @@
         route: Route,
         text: Text,
         run: Run,
-        headers: list[tuple[bytes, bytes]],
+        attempt: Attempt,
     ) -> tuple[int, str]:
         ports, state = self.ports, run.state
-        async with ports.pool.exchange(
-            state.upstream.address,
-            "POST",
-            item.path,
-            headers,
-            item.body,
-            lifetime=state.upstream.lifetime,
-        ) as exchange:
-            head = await exchange.read_head()
-            facts = ports.codec.decode(head)
-            if facts.load is not None:
-                state.note_report(facts.load, ports.clock())
+        headers = [
+            (b"Host", self.head.host.encode()),
+            *item.headers,
+            (REQUEST_ID_PLACE, item.id.encode()),
+        ]
+        async with ports.sender.open(
+            state, attempt, "POST", item.path, headers, item.body
+        ) as answer:
+            head, facts = answer.head, answer.facts
             if head.status != STATUS_OK:
-                await exchange.read_body()
+                await answer.exchange.read_body()
                 if facts.not_run:
                     state.note_full(ports.clock())
                     return head.status, "not run"
@@ -298,7 +291,7 @@
                     upstream.id, upstream.lifetime, model, version
                 )
             read = ports.event_reader()
-            async for chunk in exchange.chunks():
+            async for chunk in answer.exchange.chunks():
                 for event in read(chunk):
                     version = version if event.version is None else event.version
                     if version is None:  # a text that was whole already brings no event
@@ -340,7 +333,7 @@
             )
             try:
                 reply = await self.ports.forwarder.forward(call)
-                stamp = self.ports.codec.decode(reply.head).stamp
+                stamp = self.ports.sender.codec.decode(reply.head).stamp
                 if reply.head.status // 100 == 2 and stamp:
                     return stamp
             except AcaciarillError as error:
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Serve a shared fleet: routes, upstreams, forwarding, members and the way to the store."""
 
-from ._forward import Attempt, Call, Forwarder, UpstreamCodec
+from ._attempts import Attempt, AttemptSender, UpstreamCodec
+from ._forward import Call, Forwarder
 from ._members import ROLE_FRONT, Member, Members
 from ._model import (
     AnswerFacts,
@@ -22,6 +23,7 @@
     "ROLE_FRONT",
     "AnswerFacts",
     "Attempt",
+    "AttemptSender",
     "Call",
     "Configuration",
     "Engine",
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -7,9 +7,10 @@
 import anyio
 from eliot import log_message
 
-from ..edge import Head, HttpPool, Reply
+from ..edge import Reply
 from ..errors import AcaciarillError, Outcome, RefusedError, Step, UpstreamError
-from ._model import AnswerFacts, Route, Upstream
+from ._attempts import Attempt, AttemptSender
+from ._model import AnswerFacts, Route
 from ._upstreams import UpstreamState, UpstreamTable
 from .const import (
     ATTEMPT_MIN_S,
@@ -42,41 +43,19 @@
     error_replies: int = 0
 
 
-@dataclass(slots=True)
-class Attempt:
-    """Hold what is added to a request for one upstream; `left_s` is in seconds."""
-
-    upstream: Upstream
-    left_s: float
-    customer: str = ""
-    priority: int | None = None
-    resume_after: int | None = None
-    expected_version: int | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class UpstreamCodec:
-    """Translate between attempts and the headers that upstreams understand."""
-
-    encode: Callable[[list[tuple[bytes, bytes]], Attempt], list[tuple[bytes, bytes]]]
-    decode: Callable[[Head], AnswerFacts]
-
-
 class Forwarder:
     """Send requests to upstreams and retry where that is safe."""
 
     def __init__(
         self,
-        pool: HttpPool,
+        sender: AttemptSender,
         table: UpstreamTable,
-        codec: UpstreamCodec,
         clock: Callable[[], float],
         chance: random.Random,
         on_run: Callable[[str, float], None] = lambda customer, at: None,
     ) -> None:
-        self.pool = pool
+        self.sender = sender
         self.table = table
-        self.codec = codec
         self.clock = clock
         self.chance = chance
         self.on_run = on_run
@@ -112,27 +91,19 @@
         now = self.clock()
         attempt_s = self._attempt_s(call, left)
         attempt = Attempt(state.upstream, left, call.customer)
-        headers = self.codec.encode(call.headers, attempt)
         state.in_flight += 1
         try:
             with anyio.move_on_after(attempt_s):
-                async with self.pool.exchange(
-                    state.upstream.address,
-                    call.method,
-                    call.target,
-                    headers,
-                    call.body,
-                    lifetime=state.upstream.lifetime,
-                ) as exchange:
-                    head = await exchange.read_head()
-                    facts = self.codec.decode(head)
-                    body = await exchange.read_body()
-                    return self._take(call, state, Reply(head, body), facts, now)
+                async with self.sender.open(
+                    state, attempt, call.method, call.target, call.headers, call.body
+                ) as answer:
+                    reply = Reply(answer.head, await answer.exchange.read_body())
+                    return self._take(call, state, reply, answer.facts, now)
         except UpstreamError as error:
             if error.outcome is not Outcome.NOT_RUN and call.counted:
                 self.on_run(call.customer, now)
             state.note_failure(self.clock())
-            self.pool.forget(state.upstream.address)
+            self.sender.pool.forget(state.upstream.address)
             raise
         finally:
             state.in_flight -= 1
@@ -140,7 +111,7 @@
         if call.counted:
             self.on_run(call.customer, now)
         state.note_failure(self.clock())
-        self.pool.forget(state.upstream.address)
+        self.sender.pool.forget(state.upstream.address)
         raise UpstreamError("no answer in time", step=Step.RECEIVE, peer=state.upstream.id)
 
     def _attempt_s(self, call: Call, left: float) -> float:
@@ -154,11 +125,8 @@
         self, call: Call, state: UpstreamState, reply: Reply, facts: AnswerFacts, sent_at: float
     ) -> Reply:
         """Return an answer that may be passed on, or raise UpstreamError."""
-        now = self.clock()
-        if facts.load is not None:
-            state.note_report(facts.load, now)
         if facts.not_run:
-            state.note_full(now)
+            state.note_full(self.clock())
             raise UpstreamError(
                 f"refused with {reply.head.status}",
                 step=Step.ADMIT,
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -7,7 +7,8 @@
 
 from ..edge import Head
 from ..errors import Outcome, RefusedError, Step, UpstreamError
-from ._forward import Attempt, Call, Forwarder
+from ._attempts import Attempt
+from ._forward import Call, Forwarder
 from ._upstreams import UpstreamState
 from .const import DEADLINE_RESERVE_S, RETRY_AFTER_MIN_S
 
@@ -79,22 +80,15 @@
     ) -> None:
         forwarder = self.forwarder
         attempt = Attempt(state.upstream, left, call.customer, resume_after=progress.last_id)
-        headers = forwarder.codec.encode(call.headers, attempt)
         sent_at = forwarder.clock()
         state.in_flight += 1
         try:
-            async with forwarder.pool.exchange(
-                state.upstream.address,
-                call.method,
-                call.target,
-                headers,
-                call.body,
-                lifetime=state.upstream.lifetime,
-            ) as exchange:
-                head = await exchange.read_head()
-                facts = forwarder.codec.decode(head)
+            async with forwarder.sender.open(
+                state, attempt, call.method, call.target, call.headers, call.body
+            ) as answer:
+                head, facts = answer.head, answer.facts
                 if facts.not_run:
-                    await exchange.read_body()
+                    await answer.exchange.read_body()
                     state.note_full(forwarder.clock())
                     raise UpstreamError(
                         f"refused with {head.status}",
@@ -111,7 +105,7 @@
                     progress.head = head
                     await start(head)
                 rest = b""
-                async for chunk in exchange.chunks():
+                async for chunk in answer.exchange.chunks():
                     *whole, rest = (rest + chunk).split(EVENT_END)
                     for block in whole:
                         progress.note(self.event_id(block))
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -17,6 +17,7 @@
 from ..errors import AcaciarillError, StoreConflictError, StoreError
 from ..fleet import (
     ROLE_FRONT,
+    AttemptSender,
     Configuration,
     Forwarder,
     Members,
@@ -111,15 +112,13 @@
             )
 
     def _build_serving(self) -> None:
-        self.forwarder = Forwarder(
-            self.pool, self.table, self.ports.codec, self.clock, self.chance, self._count_run
-        )
+        sender = AttemptSender(self.pool, self.ports.codec, self.clock)
+        self.forwarder = Forwarder(sender, self.table, self.clock, self.chance, self._count_run)
         self.scheduler = EngineScheduler(self.table, self.clock)
         runner = RunnerPorts(
-            self.pool,
+            sender,
             self.scheduler,
             self.forwarder,
-            self.ports.codec,
             self.ports.event_reader,
             lambda: self.configuration,
             self.clock,
--- a/tests/batches/test_runner.py
+++ b/tests/batches/test_runner.py
@@ -64,7 +64,6 @@
             None,  # type: ignore[arg-type]
             AnySlot(),  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
             lambda: lambda data: [],
             lambda: self.configuration,
             lambda: 1.0,
--- a/tests/fleet/test_forward.py
+++ b/tests/fleet/test_forward.py
@@ -11,6 +11,7 @@
 from acaciarill.fleet import (
     AnswerFacts,
     Attempt,
+    AttemptSender,
     Call,
     Forwarder,
     Route,
@@ -62,9 +63,8 @@
                 table.states[name].in_flight = i  # makes the order of choice certain
             pool = HttpPool(anyio.current_time)
             forwarder = Forwarder(
-                pool,
+                AttemptSender(pool, UpstreamCodec(encode, decode), anyio.current_time),
                 table,
-                UpstreamCodec(encode, decode),
                 anyio.current_time,
                 random.Random(1),
                 lambda customer, at: runs.append(customer),
--- a/tests/fleet/test_streaming.py
+++ b/tests/fleet/test_streaming.py
@@ -11,6 +11,7 @@
 from acaciarill.fleet import (
     AnswerFacts,
     Attempt,
+    AttemptSender,
     Call,
     Forwarder,
     Route,
@@ -79,9 +80,10 @@
             for i, name in enumerate(sorted(table.states)):
                 table.states[name].in_flight = i
             forwarder = Forwarder(
-                HttpPool(anyio.current_time),
+                AttemptSender(
+                    HttpPool(anyio.current_time), UpstreamCodec(encode, decode), anyio.current_time
+                ),
                 table,
-                UpstreamCodec(encode, decode),
                 anyio.current_time,
                 random.Random(1),
             )
