Test that fronts follow a keeper, and that two sure owners list each item once

The whole path gets both; the metrics count calls to the store, and the start's log line tells the processor time so far.

--- a/acaciarill/fleet/_store_channel.py
+++ b/acaciarill/fleet/_store_channel.py
@@ -19,7 +19,14 @@
 class StoreChannel:
     """Send calls to the store and remember whether it answers this host."""
 
-    def __init__(self, address: str, pool: HttpPool, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        address: str,
+        pool: HttpPool,
+        clock: Callable[[], float],
+        on_call: Callable[[str, bool], None] = lambda method, relayed: None,
+    ) -> None:
+        self.on_call = on_call
         self.address = address
         self.pool = pool
         self.clock = clock
@@ -78,6 +85,7 @@
     ) -> StoreReply:
         """Call the store from this host; raise StoreError."""
         self.calls += 1
+        self.on_call(method, False)
         headers = [(b"Content-Type", b"application/json")] if body else []
         sent = False
         try:
@@ -122,6 +130,7 @@
             return None
         if found is not None:
             self.relayed += 1
+            self.on_call(method, True)
         return found
 
     def _avoid(self, reason: str) -> None:
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -1,6 +1,7 @@
 """Hold the parts of one daemon that serves a shared fleet."""
 
 import random
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -63,7 +64,9 @@
         self.true_time = TrueTime(self.clock)
         self.metrics = Metrics()
         self.pool = HttpPool(self.clock)
-        self.channel = StoreChannel(settings.store, self.pool, self.clock)
+        self.channel = StoreChannel(
+            settings.store, self.pool, self.clock, self.metrics.count_store_call
+        )
         self.store = ports.store(self.channel)
         self.ready = False
         self.draining = False
@@ -246,7 +249,12 @@
             subscribe(POLL_PERIOD_S, self.book.poll)
         self._start_duties()
         self.ready = True
-        log_message(message_type="daemon:started", host=self.settings.host, role=self.settings.role)
+        log_message(
+            message_type="daemon:started",
+            host=self.settings.host,
+            role=self.settings.role,
+            processor_s=round(time.process_time(), 3),
+        )
         await stop.wait()
         await self._drain()
         log_message(
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -21,6 +21,17 @@
             registry=self.registry,
         )
 
+        self.store_calls = Counter(
+            "acaciarill_store_calls",
+            "Calls to the object store, by method and by whether a peer passed them on",
+            ["method", "relayed"],
+            registry=self.registry,
+        )
+
+    def count_store_call(self, method: str, relayed: bool) -> None:
+        """Count one call to the object store."""
+        self.store_calls.labels(method, str(relayed).lower()).inc()
+
     def observe(self, kind: str, status: int, took_s: float) -> None:
         """Count one answered request."""
         self.requests.labels(kind, str(status)).inc()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -161,6 +161,20 @@
             self.assertTrue(shown["ready"])
             reply = await site.pool.request(address, "GET", "/metrics", [])
             self.assertIn(b"acaciarill_request_seconds", reply.body)
+            self.assertIn(b"acaciarill_store_calls_total", reply.body)
+
+    async def test_fronts_follow_the_daemon_that_watches_and_the_store_without_it(self) -> None:
+        async with self.site() as site:
+            fronts = [site.daemons["f1"], site.daemons["f2"]]
+            await until(lambda: all(front.feed.watcher == "s1" for front in fronts))
+            site.store.put("config", "main", configuration(2))
+            await until(lambda: all(front.configuration.version == 2 for front in fronts))
+            paused = [f.paused for front in fronts for f in front.views.followers.values()]
+            self.assertEqual(set(paused), {True})
+            site.scopes["s1"].cancel()
+            await until(lambda: all(front.feed.watcher is None for front in fronts))
+            site.store.put("config", "main", configuration(3))
+            await until(lambda: all(front.configuration.version == 3 for front in fronts))
 
     async def test_withdrawn_key_stops_working_at_every_daemon(self) -> None:
         async with self.site() as site:
@@ -226,6 +240,27 @@
             self.assertEqual(site.owner("batch-1"), other)
             self.assertEqual(len({result["id"] for result in found}), 16)
 
+    async def test_two_owners_each_sure_of_itself_list_each_item_once(self) -> None:
+        async with self.site() as site:
+            for engine in site.engines:
+                engine.pause_s = 0.2
+            await site.call("f1", "POST", "/b/x", submission(16), id="batch-1")
+            await until(lambda: any(engine.items for engine in site.engines))
+            first = site.owner("batch-1")
+            second = "f2" if first == "f1" else "f1"
+            # The first owner hears of no head any more, the second takes it for dead.
+            site.daemons[first].views.view("batches").listeners.clear()
+            site.daemons[second].members.dead = lambda name: name == first
+            await until(lambda: site.owner("batch-1") == second)
+            found = await site.read(second, "batch-1", 16)
+            runner = site.daemons[first].book.runners["batch-1"]
+            await until(lambda: len(runner.log.results) == 16)
+            self.assertEqual(
+                [result["id"] for result in found], [result.id for result in runner.log.results]
+            )
+            self.assertEqual(len({result["id"] for result in found}), 16)
+            self.assertGreater(sum(len(engine.items) for engine in site.engines), 16)
+
     async def test_named_version_reaches_engines_under_one_fence(self) -> None:
         async with self.site() as site:
             await until(lambda: bool(site.holder()))
