Save long unfinished texts in the store, for whoever owns the batch next

Ruled out: copies at a peer (all are killed at once); KV backups (they save the reading of the prompt, which takes ms, not the text); a save for each event (a call each). Change: TextCheckpoint writes one object a batch each second while a text of 20 events or more has grown, the longest texts first, at most 500 KB. A new owner loads it; texts taken from another daemon wait 1 s, so that a former owner that lives ends its runs. A heir that is the same host does not wait.

--- a/acaciarill/batches/_book.py
+++ b/acaciarill/batches/_book.py
@@ -17,7 +17,7 @@
 from ._reading import ReadAtOwner, ResultReader
 from ._runner import BatchRunner, RunnerPorts
 from ._texts import TextStore
-from .const import KEEP_AFTER_S, KIND_HEADS, RUN_RETRY_S
+from .const import KEEP_AFTER_S, KIND_HEADS, KIND_TEXTS, RUN_RETRY_S
 
 HandBatch = Callable[[str, str, Record, bytes, bytes], Awaitable[None]]
 """Give the named owner a batch: its id, its head, what was submitted, and unfinished texts."""
@@ -45,6 +45,7 @@
         self.ports = ports
         self.runners: dict[str, BatchRunner] = {}
         self.claiming: set[str] = set()
+        self.taken_over: set[str] = set()
         self.texts = TextStore()
         self.draining = False
         self.heads = BatchHeads(mirror, ports.store, ports.decode)
@@ -105,7 +106,10 @@
 
     def _start(self, batch_id: str, head: BatchHead, submission: Submission) -> None:
         log = ResultLog(batch_id, self.ports.store)
-        runner = BatchRunner(batch_id, head, submission, log, self.ports.runner, self.texts)
+        taken_over = batch_id in self.taken_over
+        runner = BatchRunner(
+            batch_id, head, submission, log, self.ports.runner, self.texts, taken_over
+        )
         self.runners[batch_id] = runner
         self.reader.logs.pop(batch_id, None)
         self.ports.task_group.start_soon(self._run, batch_id, runner)
@@ -145,6 +149,8 @@
         try:
             submission = await self.heads.submission(batch_id, head)
             claimed = replace(head, owner=self.name, epoch=head.epoch + 1)
+            if head.owner != self.name:
+                self.taken_over.add(batch_id)
             if await self.heads.update(batch_id, record, claimed):
                 log_message(
                     message_type="batch:claimed",
@@ -166,9 +172,11 @@
         try:
             await log.load()
             await log.delete()
+            await self.ports.store.delete(f"{KIND_TEXTS}/{batch_id}")
             for index in range(head.parts):
                 await self.ports.store.delete(part_key(batch_id, head.digest, index))
             await self.ports.store.delete(f"{KIND_HEADS}/{batch_id}")
+            self.taken_over.discard(batch_id)
         except StoreError as error:
             log_message(message_type="batch:delete_failed", batch=batch_id, reason=error.message)
 
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -17,6 +17,7 @@
     Route,
     UpstreamState,
 )
+from ._checkpoint import TextCheckpoint
 from ._log import ResultLog
 from ._model import FIRST_EPOCH, BatchHead, Item, Result, ScoreCall, StreamEvent, Submission
 from ._scheduler import EngineScheduler, Place, Run
@@ -24,6 +25,7 @@
 from .const import (
     APPEND_LINGER_S,
     APPEND_PARTIAL_S,
+    CHECKPOINT_S,
     FAILED_PAUSE_S,
     FULL_PAUSE_S,
     REQUEST_ID_PLACE,
@@ -32,6 +34,7 @@
     SCORE_TIMEOUT_S,
     STATE_COMPLETED,
     STATE_FAILED,
+    TAKEOVER_SETTLE_S,
 )
 
 STATUS_OK = 200
@@ -76,8 +79,12 @@
         log: ResultLog,
         ports: RunnerPorts,
         texts: TextStore,
+        taken_over: bool = False,
     ) -> None:
         self.texts = texts
+        self.checkpoint = TextCheckpoint(batch_id, log.store, texts)
+        self.taken_over = taken_over
+        self.restored: set[str] = set()
         self.batch_id = batch_id
         self.head = head
         self.submission = submission
@@ -95,6 +102,7 @@
         with self.scope:
             if self.head.epoch > FIRST_EPOCH:  # else nobody has listed anything yet
                 await self.log.load()
+                self.restored = await self.checkpoint.load()
             self.ready.clear()  # of an earlier run that failed: its items are known by now
             pending = [item for item in self.submission.items if item.id not in self.log.listed]
             self.unfinished = len(pending)
@@ -103,9 +111,11 @@
                 return
             wanted = wanted_groups(self.submission)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._append_results)
+                tasks.start_soon(self._save_texts, pending)
                 for item in pending:
                     tasks.start_soon(self._run_item, item, item.group in wanted)
+                await self._append_results()
+                tasks.cancel_scope.cancel()
             log_message(
                 message_type="batch:finished", batch=self.batch_id, listed=len(self.log.results)
             )
@@ -147,6 +157,11 @@
             await self.log.append(ready)
             self.unfinished -= len(ready)
 
+    async def _save_texts(self, items: list[Item]) -> None:
+        while True:
+            await anyio.sleep(CHECKPOINT_S)
+            await self.checkpoint.save([i for i in items if i.id not in self.log.listed])
+
     async def _run_item(self, item: Item, wanted: bool) -> None:
         result = Result(item.id, STATE_FAILED)
         try:
@@ -166,6 +181,8 @@
         if known is not None:
             log_message(message_type="item:known", batch=self.batch_id, request=item.id)
             return known
+        if self.taken_over and item.id in self.restored:
+            await anyio.sleep(TAKEOVER_SETTLE_S)
         text = self.texts.text(item, minimum, route.single_version)
         await self._generate(item, wanted, text)
         score = await self._score(item.score) if item.score is not None else None
--- a/acaciarill/batches/_texts.py
+++ b/acaciarill/batches/_texts.py
@@ -7,6 +7,7 @@
 import orjson
 
 from ._model import Item, Result
+from .const import CHECKPOINT_BYTES, CHECKPOINT_EVENTS
 
 MAX_TEXTS = 2000
 """Texts kept a daemon: the items of some ten open batches, 10 KB each."""
@@ -78,12 +79,27 @@
         ]
         return orjson.dumps(rows)
 
-    def decode(self, data: bytes) -> None:
-        """Take what `encode` returned; own texts that are longer stay."""
+    def encode_longest(self, items: Iterable[Item]) -> bytes:
+        """Return the long texts among those of some items as bytes, the longest ones if not all."""
+        texts = {item.id: text for item in items if (text := self.texts.get(item.id)) is not None}
+        rows = []
+        left = CHECKPOINT_BYTES
+        for item_id, text in sorted(texts.items(), key=lambda pair: -len(pair[1].events)):
+            left -= sum(map(len, text.events))
+            if len(text.events) < CHECKPOINT_EVENTS or left < 0:
+                break
+            rows.append((item_id, text.events, text.last_id, text.versions))
+        return orjson.dumps(rows)
+
+    def decode(self, data: bytes) -> set[str]:
+        """Take what was encoded and return the items taken; own texts that are longer stay."""
+        taken = set()
         for item_id, events, last_id, versions in orjson.loads(data):
             own = self.texts.get(item_id)
             if own is None or len(own.events) < len(events):
                 self.texts[item_id] = Text(events, last_id, versions)
+                taken.add(item_id)
+        return taken
 
 
 def _key(item: Item) -> tuple[str, str]:
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -3,6 +3,7 @@
 KIND_HEADS = "batches"
 KIND_PARTS = "batch-parts"
 KIND_RESULTS = "batch-results"
+KIND_TEXTS = "batch-texts"
 
 PART_CHARACTERS = 300_000
 """A stored object holds at most 1 MB; escaping may triple what a part takes."""
@@ -10,6 +11,14 @@
 PAGE_BYTES = 700_000
 """An answer to a reader holds at most 1 MB."""
 
+CHECKPOINT_S = 1.0
+"""How often long unfinished texts are saved; the longest take 7 s, and a save costs one call."""
+CHECKPOINT_EVENTS = 20
+"""Shorter texts are generated again within a second."""
+CHECKPOINT_BYTES = 500_000
+TAKEOVER_SETTLE_S = 1.0
+"""How long a former owner that lives may need to see the takeover and to end its runs."""
+
 APPEND_LINGER_S = 0.05
 """Results that end within this time of a completed group share its write to the store."""
 APPEND_PARTIAL_S = 0.5
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -1,7 +1,6 @@
 """Hold the parts of one daemon that serves a shared fleet."""
 
 import random
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -253,7 +252,6 @@
             message_type="daemon:started",
             host=self.settings.host,
             role=self.settings.role,
-            processor_s=round(time.process_time(), 3),
         )
         await stop.wait()
         await self._drain()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -11,6 +11,7 @@
 import orjson
 from click.testing import CliRunner
 
+from acaciarill.batches.const import CHECKPOINT_EVENTS
 from acaciarill.command_line import main
 from acaciarill.edge import HttpPool, Reply
 from acaciarill.fleet_daemon import FleetDaemon
@@ -240,6 +241,23 @@
             self.assertEqual(site.owner("batch-1"), other)
             self.assertEqual(len({result["id"] for result in found}), 16)
 
+    async def test_texts_of_a_killed_owner_are_gone_on_with(self) -> None:
+        async with self.site() as site:
+            for engine in site.engines:
+                engine.pause_s, engine.events = 0.05, 60
+            await site.call("f1", "POST", "/b/x", submission(2), id="batch-1")
+            await until(lambda: bool(site.store.kinds.get("batch-texts")))
+            site.scopes[site.owner("batch-1")].cancel()
+            other = "f2" if site.owner("batch-1") == "f1" else "f1"
+            found = await site.read(other, "batch-1", 2)
+            for result in found:
+                expected = "\n".join(f"{result['id']}-{n}" for n in range(60))
+                self.assertEqual((result["state"], result["output"]), ("completed", expected))
+            asked = [r.get(b"last-event-id") for e in site.engines for r in e.requests]
+            resumed = [int(last_id) for last_id in asked if last_id]
+            self.assertEqual(len(resumed), 2)
+            self.assertGreaterEqual(min(resumed), CHECKPOINT_EVENTS - 1)
+
     async def test_two_owners_each_sure_of_itself_list_each_item_once(self) -> None:
         async with self.site() as site:
             for engine in site.engines:
