Read a log of results without asking for the segment after its end

Ruled out: beginning with the listing: it brings the segments of other batches as well. Change: one read, then pages until none follows. The listing is linearizable, like the read. Tests: the new test of tests.batches.test_log counted 2 reads before, 1 now.

--- a/acaciarill/batches/_log.py
+++ b/acaciarill/batches/_log.py
@@ -51,12 +51,11 @@
     async def load(self) -> None:
         """Read the segments that are not known yet; raise StoreError."""
         async with self.lock:  # two readers must not take the same segment twice
-            while True:
-                found = await self.store.get(self._key(self.segments))
-                if found is None:
-                    return
-                self._take([Result.from_row(row) for row in orjson.loads(found[0])])
-                await self._load_rest()
+            found = await self.store.get(self._key(self.segments))
+            if found is None:
+                return
+            self._take([Result.from_row(row) for row in orjson.loads(found[0])])
+            await self._load_rest()
 
     async def _load_rest(self) -> None:
         """Read what follows a known segment by pages; one call each would cost as many calls."""
--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -54,6 +54,15 @@
         self.assertEqual("".join(self.names(reader)), "acdefgh")
         self.assertEqual(reader.segments, 7)
 
+    async def test_reading_a_log_costs_one_read_and_its_pages(self) -> None:
+        writer, reader = ResultLog("b", self.store), ResultLog("b", self.store)
+        await writer.append(results("a"))
+        await writer.append(results("c"))
+        with mock.patch.object(self.store, "get", wraps=self.store.get) as get:
+            await reader.load()
+        self.assertEqual(get.call_count, 1)
+        self.assertEqual(self.names(reader), ["a", "c"])
+
     async def test_lost_answer_of_an_append_lists_nothing_twice(self) -> None:
         log = ResultLog("b", self.store)
         self.store.lose_next = 1
