Keep the daemon whose views are followed, and ask a lost one ever more rarely

Cause: the entry of a lost host stays on the list of daemons. Ruled out: deleting such entries: a host that is cut off looks the same; a shorter time for connections: it serves all calls between daemons. Change: the present one is kept while it can be used; one that stays silent is left for 3, 6, 12, 24 s.

--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -1,5 +1,6 @@
 """Follow the views of a daemon that watches the store, so that few daemons watch it themselves."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,7 @@
 from ..mirrors import Mirror, MirrorFollower
 from ..peers import PeerLinks, messages, rendezvous_order
 from .const import (
+    FEED_AVOID_MAX_S,
     FEED_AVOID_S,
     FEED_FAILING_S,
     FEED_GRACE_S,
@@ -40,6 +42,7 @@
         self.clock = clock
         self.watcher: str | None = None
         self.avoided: dict[str, float] = {}
+        self.failures: Counter[str] = Counter()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -52,18 +55,29 @@
             try:
                 await self._take_changes(watcher)
             except PeerError as error:
-                refused = error.outcome is Outcome.NOT_RUN
-                avoid_s = FEED_REFUSED_S if refused else FEED_AVOID_S
-                self.avoided[watcher.name] = self.clock() + avoid_s
-                log_message(
-                    message_type="views:watcher_lost",
-                    peer=watcher.name,
-                    reason=error.message,
-                    avoided_for_s=avoid_s,
-                )
+                self._avoid(watcher.name, error)
+
+    def _avoid(self, name: str, error: PeerError) -> None:
+        """Leave a daemon alone, the longer the more often it has been silent in a row."""
+        if error.step is Step.STORE:
+            avoid_s = FEED_REFUSED_S
+        else:
+            avoid_s = min(FEED_AVOID_MAX_S, FEED_AVOID_S * 2 ** self.failures[name])
+            self.failures[name] += 1
+        self.avoided[name] = self.clock() + avoid_s
+        log_message(
+            message_type="views:watcher_lost",
+            peer=name,
+            reason=error.message,
+            avoided_for_s=avoid_s,
+        )
 
     def choose(self) -> Member | None:
-        """Return the daemon to follow: one of this data centre if any can be used."""
+        """Return the daemon to follow: one of this data centre if any can be used.
+
+        The present one is kept: a daemon that is gone for good stays on the list, and asking it
+        again takes the time of a connection.
+        """
         now = self.clock()
         members = self.members
         usable = {
@@ -77,6 +91,8 @@
         }
         near = [name for name in usable if usable[name].data_centre == members.own.data_centre]
         names = near or list(usable)
+        if self.watcher in names:
+            return usable[self.watcher]
         return usable[rendezvous_order(members.name, names)[0]] if names else None
 
     def _follow_store(self) -> None:
@@ -102,6 +118,7 @@
                 message_type="views:follow_peer", peer=watcher.name, data_centre=watcher.data_centre
             )
         self.watcher = watcher.name
+        self.failures.pop(watcher.name, None)
         for follower in self.followers.values():
             follower.pause()
             follower.note(True)
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -23,6 +23,8 @@
 FEED_GRACE_S = 0.5
 FEED_AVOID_S = 3.0
 """How long a peer that fell silent is not followed; frozen hosts wake after some seconds."""
+FEED_AVOID_MAX_S = 24.0
+"""The same for one that stays silent: each try takes up to a second, in which no view grows."""
 FEED_REFUSED_S = 1.0
 """The same for a peer that answered that it does not reach the store."""
 FEED_RETRY_S = 0.25
--- a/tests/fleet_daemon/test_feed.py
+++ b/tests/fleet_daemon/test_feed.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 import anyio
 
@@ -60,6 +61,9 @@
     """Let one daemon follow two that watch the store, one of them in its data centre."""
 
     def setUp(self) -> None:
+        waits = mock.patch("acaciarill.fleet_daemon._feed.FEED_WAIT_S", 0.01)
+        waits.start()
+        self.addCleanup(waits.stop)
         self.now = 100.0
         self.source = FakeSource()
         self.links = FakeLinks()
@@ -91,8 +95,8 @@
         assert watcher is not None
         try:
             await self.feed._take_changes(watcher)
-        except PeerError:
-            self.feed.avoided[watcher.name] = self.now + FEED_AVOID_S
+        except PeerError as error:
+            self.feed._avoid(watcher.name, error)
 
     def config(self) -> Mirror:
         return self.followers["config"].mirror
@@ -144,6 +148,31 @@
         await self.take()
         self.assertEqual(self.feed.watcher, "ka")
 
+    async def test_daemon_that_is_gone_for_good_is_asked_ever_more_rarely(self) -> None:
+        # replace_core: the entry of a lost host stays on the list of daemons.
+        self.links.silent = {"ka"}
+        asked = []
+        for _ in range(120):
+            if self.feed.choose() is self.members.members["ka"]:
+                asked.append(self.now)
+            await self.take()
+            self.now += 0.5
+        self.assertEqual(self.feed.watcher, "kb")
+        self.assertLessEqual(len(asked), 5)
+
+    async def test_daemon_in_use_is_kept_while_another_is_gone(self) -> None:
+        self.members.members["kb"].data_centre = "a"
+        first = self.feed.choose()
+        assert first is not None
+        self.links.silent = {first.name}
+        await self.take()
+        await self.take()
+        self.links.called.clear()
+        for _ in range(20):
+            self.now += FEED_AVOID_S
+            await self.take()
+        self.assertNotIn(first.name, self.links.called)
+
     async def test_daemon_that_does_not_reach_the_store_refuses(self) -> None:
         follower = self.keepers["ka"]["config"]
         follower.note(False)
