Forget the engines of old groups

Cause: the scheduler kept one entry a group for good; found while reading the diff. An answer of another kind to a feed's question would have ended the process. Change: the last 2,000 groups are kept; such an answer is a peer's fault like others. Test: tests.batches.test_scheduler, failed before for want of the bound.

--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -1,5 +1,6 @@
 """Give the items of all own batches places on engines, in the order that earns most."""
 
+from collections import OrderedDict
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -8,7 +9,7 @@
 
 from ..fleet import UpstreamState, UpstreamTable
 from ..fleet.const import SLOW_FACTOR
-from .const import RESUME_AFTER_S, SLOW_AFTER_EVENTS, STALL_S
+from .const import GROUPS_KEPT, RESUME_AFTER_S, SLOW_AFTER_EVENTS, STALL_S
 
 
 @dataclass(slots=True)
@@ -62,7 +63,7 @@
         self.clock = clock
         self.waiters: list[_Waiter] = []
         self.runs: list[Run] = []
-        self.group_places: dict[str, str] = {}
+        self.group_places: OrderedDict[str, str] = OrderedDict()
         table.subscribe(self.hand_out)
 
     @asynccontextmanager
@@ -93,10 +94,16 @@
                 continue
             state.in_flight += 1
             waiter.given = state
-            self.group_places[waiter.place.group] = state.upstream.id
+            self._keep_place(waiter.place.group, state.upstream.id)
             self.waiters.remove(waiter)
             waiter.ready.set()
 
+    def _keep_place(self, group: str, upstream: str) -> None:
+        self.group_places[group] = upstream
+        self.group_places.move_to_end(group)
+        if len(self.group_places) > GROUPS_KEPT:
+            self.group_places.popitem(last=False)
+
     def check_runs(self) -> None:
         """Stop streams that are silent or slow while another engine has room for them."""
         now = self.clock()
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -34,6 +34,8 @@
 READ_GRACE_S = 1.0
 END_LIMIT_S = 4.0
 
+GROUPS_KEPT = 2000
+"""Groups of which an owner remembers the engine; some ten steps of 512 samples in groups of 4."""
 STALL_S = 2.5
 """A stream without an event for so long is resumed elsewhere; a change of weights takes 0.9 s."""
 RESUME_AFTER_S = 0.7
--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -110,6 +110,8 @@
             wait_ms=int(wait_s * MS_PER_S),
         )
         frame = await self.links.call(watcher.address, wait_s + FEED_GRACE_S, watch_views=call)
+        if frame.views_changed is None:
+            raise PeerError("not an answer to this call", step=Step.FORWARD, peer=watcher.address)
         for kind, view in (frame.views_changed.views or {}).items():
             if kind in self.followers:
                 self._apply(self.followers[kind], view)
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -6,6 +6,7 @@
 import anyio
 
 from acaciarill.batches import EngineScheduler, Place
+from acaciarill.batches.const import GROUPS_KEPT
 from acaciarill.fleet import Upstream, UpstreamTable
 
 
@@ -45,6 +46,14 @@
             tasks.cancel_scope.cancel()
         return given
 
+    async def test_engines_of_old_groups_are_forgotten(self) -> None:
+        self.engines(e1=1)
+        for number in range(GROUPS_KEPT + 5):
+            async with self.scheduler.place(place(0, f"g{number}")):
+                pass
+        self.assertEqual(len(self.scheduler.group_places), GROUPS_KEPT)
+        self.assertNotIn("g0", self.scheduler.group_places)
+
     async def test_group_stays_with_its_prompt(self) -> None:
         self.engines(e1=1, e2=1)
         given = await self.run_places([place(0, "g"), place(0, "h"), place(0, "g")])
