Answer as the owner only from a log that was read whole

Found with it: a restarted daemon that had read a body could run a batch under the first epoch without claiming it, and took the log to be empty. Change: a log says when it is complete; a stopped owner does not answer at its log's end; the log in the store does. Only what this process accepted, was handed or claimed is run. Reads of an ended batch do not wait.

--- a/acaciarill/batches/_acceptance.py
+++ b/acaciarill/batches/_acceptance.py
@@ -38,7 +38,9 @@
         choose_owner: Callable[[str, str], str],
         hand: Callable[[str, bytes, bytes], Awaitable[None]],
         true_time: Callable[[], float],
+        on_accepted: Callable[[str], None],
     ) -> None:
+        self.on_accepted = on_accepted
         self.heads = heads
         self.choose_owner = choose_owner
         self.hand = hand
@@ -123,6 +125,7 @@
                 revision=version,
             )
             self.heads.remember(batch_id, submission)
+            self.on_accepted(batch_id)
             self.heads.mirror.put(Record(batch_id, version, orjson.loads(head.encode())))
             return
 
--- a/acaciarill/batches/_book.py
+++ b/acaciarill/batches/_book.py
@@ -46,11 +46,16 @@
         self.runners: dict[str, BatchRunner] = {}
         self.claiming: set[str] = set()
         self.taken_over: set[str] = set()
+        self.to_run: set[str] = set()
         self.texts = TextStore()
         self.draining = False
         self.heads = BatchHeads(mirror, ports.store, ports.decode)
         self.acceptance = Acceptance(
-            self.heads, self._choose_owner, self._hand, ports.runner.true_time
+            self.heads,
+            self._choose_owner,
+            self._hand,
+            ports.runner.true_time,
+            lambda batch_id: self.to_run.add(batch_id),
         )
         self.reader = ResultReader(
             self.heads, self.runners, ports.members, ports.read_at_owner, ports.runner.clock
@@ -80,6 +85,7 @@
         """Take a batch that another daemon accepted for this one, or handed over."""
         self.heads.remember(record.name, self.ports.decode(body))
         self.texts.decode(texts)
+        self.to_run.add(record.name)
         log_message(message_type="batch:handed", batch=record.name)
         self.mirror.put(record)
         self._follow_heads()
@@ -100,8 +106,15 @@
             del self.runners[batch_id]
         for batch_id, record in self.mirror.records.items():
             head = BatchHead.from_value(record.value)
-            fresh = batch_id in self.heads.submissions and batch_id not in self.runners
-            if fresh and head.owner == self.name and not head.ended and not self.draining:
+            # What another process of this host owned must be claimed first: its log is not known.
+            known = batch_id in self.to_run and batch_id in self.heads.submissions
+            if (
+                known
+                and batch_id not in self.runners
+                and head.owner == self.name
+                and not head.ended
+                and not self.draining
+            ):
                 self._start(batch_id, head, self.heads.submissions[batch_id])
 
     def _start(self, batch_id: str, head: BatchHead, submission: Submission) -> None:
@@ -149,6 +162,7 @@
         try:
             submission = await self.heads.submission(batch_id, head)
             claimed = replace(head, owner=self.name, epoch=head.epoch + 1)
+            self.to_run.add(batch_id)
             if head.owner != self.name:
                 self.taken_over.add(batch_id)
             if await self.heads.update(batch_id, record, claimed):
@@ -177,6 +191,7 @@
                 await self.ports.store.delete(part_key(batch_id, head.digest, index))
             await self.ports.store.delete(f"{KIND_HEADS}/{batch_id}")
             self.taken_over.discard(batch_id)
+            self.to_run.discard(batch_id)
         except StoreError as error:
             log_message(message_type="batch:delete_failed", batch=batch_id, reason=error.message)
 
--- a/acaciarill/batches/_log.py
+++ b/acaciarill/batches/_log.py
@@ -35,13 +35,17 @@
 
 @dataclass(slots=True)
 class ResultLog:
-    """Hold the results that the store has acknowledged, in their positions."""
+    """Hold the results that the store has acknowledged, in their positions.
+
+    It is `complete` once all that was listed before this owner has been read.
+    """
 
     batch: str
     store: ObjectAccess
     results: list[Result] = field(default_factory=list)
     listed: set[str] = field(default_factory=set)
     segments: int = 0
+    complete: bool = False
     grown: anyio.Event = field(default_factory=anyio.Event)
     lock: anyio.Lock = field(default_factory=anyio.Lock)
 
@@ -52,10 +56,10 @@
         """Read the segments that are not known yet; raise StoreError."""
         async with self.lock:  # two readers must not take the same segment twice
             found = await self.store.get(self._key(self.segments))
-            if found is None:
-                return
-            self._take([Result.from_row(row) for row in orjson.loads(found[0])])
-            await self._load_rest()
+            if found is not None:
+                self._take([Result.from_row(row) for row in orjson.loads(found[0])])
+                await self._load_rest()
+            self.complete = True
 
     async def _load_rest(self) -> None:
         """Read what follows a known segment by pages; one call each would cost as many calls."""
--- a/acaciarill/batches/_reading.py
+++ b/acaciarill/batches/_reading.py
@@ -42,25 +42,33 @@
         while True:
             head = await self.heads.find(batch_id, customer)
             page = await self._page(batch_id, head, after, max(0.0, until - self.clock()))
-            if page.results or after >= page.total or self.clock() >= until:
+            if page.results or after >= page.total or head.ended or self.clock() >= until:
                 return page
             await anyio.sleep(min(READ_RETRY_S, max(0.0, until - self.clock())))
 
     async def own_results(self, batch_id: str, after: int, wait_s: float) -> Page:
         """Return results of an owned batch; raise RefusedError when it is not owned here."""
-        runner = self.runners.get(batch_id)
-        if runner is None or after > len(runner.log.results):
+        runner = self._own_runner(batch_id, after)
+        if runner is None:
             raise RefusedError("not the owner", step=Step.FORWARD, code="not-owner")
         with anyio.move_on_after(wait_s):
             while len(runner.log.results) <= after < runner.head.total:
                 await runner.log.grown.wait()
         return runner.log.page(runner.head.total, after)
 
+    def _own_runner(self, batch_id: str, after: int) -> BatchRunner | None:
+        """Return the runner of an owned batch if its log tells what the store has from there on."""
+        runner = self.runners.get(batch_id)
+        if runner is None or not runner.log.complete:
+            return None
+        known = len(runner.log.results)
+        return runner if after < known or (after == known and not runner.stopped) else None
+
     async def _page(self, batch_id: str, head: BatchHead, after: int, wait_s: float) -> Page:
         log = self.logs.get(batch_id)
         if log is not None and len(log.results) > after:
             return log.page(head.total, after)
-        if batch_id in self.runners and after <= len(self.runners[batch_id].log.results):
+        if self._own_runner(batch_id, after) is not None:
             return await self.own_results(batch_id, after, wait_s)
         owner = self.members.members.get(head.owner)
         if owner is not None and head.owner != self.members.name and owner.failed_since is None:
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -95,12 +95,15 @@
         self.some_ready = anyio.Event()
         self.missing: Counter[str] = Counter()
         self.scope = anyio.CancelScope()
+        self.stopped = False
         self.unfinished = 0
 
     async def run(self) -> None:
         """Run until every item is listed, or `scope` is cancelled."""
         with self.scope:
-            if self.head.epoch > FIRST_EPOCH:  # else nobody has listed anything yet
+            if self.head.epoch == FIRST_EPOCH:
+                self.log.complete = True  # nobody has listed anything yet
+            else:
                 await self.log.load()
                 self.restored = await self.checkpoint.load()
             self.ready.clear()  # of an earlier run that failed: its items are known by now
@@ -122,6 +125,7 @@
 
     def stop(self) -> None:
         """End all runs; engines drop them when their connections close."""
+        self.stopped = True
         self.scope.cancel()
 
     async def _route(self, host: str, path: str) -> Route:
--- a/tests/models/batch_life.py
+++ b/tests/models/batch_life.py
@@ -20,7 +20,10 @@
 CREATE_ONLY = "segments are only created"
 READ_ON = "read on after a conflict"
 STORED_FIRST = "show only what the store has"
-ALL_GUARDS = frozenset({PARTS_FIRST, SETTLE, CONDITIONAL, CREATE_ONLY, READ_ON, STORED_FIRST})
+LOADED = "answer only from a log that was read whole"
+ALL_GUARDS = frozenset(
+    {PARTS_FIRST, SETTLE, CONDITIONAL, CREATE_ONLY, READ_ON, STORED_FIRST, LOADED}
+)
 
 IDLE, PARTS, HEAD, UNSURE = "idle", "parts", "head", "unsure"
 ACCEPTED, REFUSED, UNTOLD = "accepted", "refused", "untold"
@@ -42,9 +45,14 @@
 
 
 class Owner(NamedTuple):
-    """One daemon: whether it runs the batch, and what it knows of the log and of the head."""
+    """One daemon: whether it runs the batch, and what it knows of the log and of the head.
+
+    `found` is how long the log was when it began, `again` whether an earlier process of it ran.
+    """
 
     runs: bool = False
+    again: bool = False
+    found: int = 0
     known: int = 0
     listed: frozenset[int] = frozenset()
     read: Head | None = None
@@ -61,6 +69,7 @@
     accepting: tuple[str, str] = (IDLE, IDLE)
     owners: tuple[Owner, Owner] = (Owner(), Owner())
     seen: tuple[Listing, ...] = ()
+    missed: bool = False
     end_told: bool = False
 
 
@@ -86,7 +95,7 @@
     twice = len(items) != len(set(items))
     moved = any(seen != now for seen, now in zip(state.seen, state.log, strict=False))
     revived = state.end_told and (state.head is None or not state.head.ended)
-    return lost or untrue or twice or moved or revived
+    return lost or untrue or twice or moved or revived or state.missed
 
 
 def _accept_steps(state: State, guards: frozenset[str]) -> Iterable[tuple[str, State]]:
@@ -155,13 +164,19 @@
 def _owner_steps(state: State, index: int, guards: frozenset[str]) -> Iterable[tuple[str, State]]:
     owner, head = state.owners[index], state.head
     if owner.runs:
-        yield "stop", _owner(state, index, Owner())
-        yield from _append_steps(state, index, guards)
+        yield "stop", _owner(state, index, Owner(again=True))
+        if owner.known < owner.found:
+            yield "load", _owner(state, index, _read_on(state, owner))
+        if owner.known < min(owner.found, len(state.seen)) and LOADED not in guards:
+            yield "answer that there is no more", state._replace(missed=True)
+        if owner.known >= owner.found or LOADED not in guards:
+            yield from _append_steps(state, index, guards)
     elif head is not None and head.owner == index and not head.ended:
-        # Under the first epoch an owner takes the log to be empty, also wrongly after a restart.
-        known = len(state.log) if head.epoch > 1 else 0
-        listed = frozenset(listing.item for listing in state.log[:known])
-        yield "start", _owner(state, index, owner._replace(runs=True, known=known, listed=listed))
+        # Under the first epoch only an earlier process of this daemon can have listed anything.
+        may_start = head.epoch > 1 or not owner.again or LOADED not in guards
+        if may_start:
+            began = owner._replace(runs=True, found=len(state.log))
+            yield "start", _owner(state, index, began)
     if head is None:
         return
     if owner.read is None and head.epoch < MAX_EPOCH:
@@ -175,6 +190,11 @@
             yield "take over", left._replace(head=taken)
 
 
+def _read_on(state: State, owner: Owner) -> Owner:
+    item = state.log[owner.known].item
+    return owner._replace(known=owner.known + 1, listed=owner.listed | {item})
+
+
 def _append_steps(state: State, index: int, guards: frozenset[str]) -> Iterable[tuple[str, State]]:
     owner = state.owners[index]
     for item in ITEMS:
@@ -195,9 +215,7 @@
                 late = state.late | {(owner.known, listing)}
                 yield "append on its way", state._replace(late=late)
         elif READ_ON in guards:
-            found = state.log[owner.known].item
-            read = owner._replace(known=owner.known + 1, listed=owner.listed | {found})
-            yield "append conflict, read", _owner(state, index, read)
+            yield "append conflict, read", _owner(state, index, _read_on(state, owner))
         else:
             blind = owner._replace(known=owner.known + 1)
             yield "append conflict, passed over", _owner(state, index, blind)
