--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -45,7 +45,7 @@
 from ._ports import FleetPorts, FleetSettings
 from ._true_time import TrueTime
 from ._views import FleetViews
-from .const import DUTY, KIND_MEMBERS, POOL_SWEEP_S, REGISTER_RETRY_S
+from .const import DUTY, EXPIRE_PERIOD_S, KIND_MEMBERS, POOL_SWEEP_S, REGISTER_RETRY_S
 
 
 class FleetDaemon:
@@ -242,6 +242,7 @@
         subscribe = self.timer.subscribe
         subscribe(PING_PERIOD_S, self.peers.ping_some)
         subscribe(POOL_SWEEP_S, self._sweep)
+        subscribe(EXPIRE_PERIOD_S, self._expire)
         subscribe(DRAIN_POLL_S, self._hand_out)
         if self.front is not None:
             await self.task_group.start(self.front.run)
@@ -268,6 +269,8 @@
 
     async def _sweep(self) -> None:
         self.pool.close_expired()
+
+    async def _expire(self) -> None:
         self.views.expire_vanished()
 
     async def _register(self) -> None:
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -7,6 +7,8 @@
 
 REGISTER_RETRY_S = 0.5
 POOL_SWEEP_S = 1.0
+EXPIRE_PERIOD_S = 0.1
+"""How often vanished upstreams are looked through; their time is short, and nobody else wakes."""
 GATHER_S = 0.3
 """Every call to the store has a price; upstreams that leave serve on for two seconds."""
 
