Run the tests in several processes

Cause: one process ran all tests one after the other, 13 to 16 minutes a run, most of it waiting for processes that the tests start. Change: units (a test, or a class with a class fixture) run in worker processes, half as many as cores, and ports are reserved across processes.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,18 +1,27 @@
-"""Run the tests and print the counts; failures listed in KNOWN-RED.txt do not fail the run."""
+"""Run the tests in several processes; failures listed in KNOWN-RED.txt do not fail the run."""
 
+import multiprocessing
+import os
 import sys
 import unittest
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.units import run_unit, split_into_units
+
 ROOT = Path(__file__).resolve().parent.parent
+WORKER_COUNT = max(1, (os.cpu_count() or 1) // 2)
+"""Half of the cores: most tests start several processes of their own."""
 
 
-class _CountingResult(unittest.TextTestResult):
-    passed = 0
+@dataclass(slots=True)
+class Totals:
+    """Hold the sums over all units."""
 
-    def addSuccess(self, test):  # noqa: N802
-        super().addSuccess(test)
-        type(self).passed += 1
+    passed: int = 0
+    skipped: int = 0
+    failed: list[str] = field(default_factory=list)
 
 
 def read_known_failures() -> dict[str, str]:
@@ -22,6 +31,23 @@
     return {entry.split("|")[0].strip(): entry for entry in entries}
 
 
+def run_units(units: list[str]) -> Totals:
+    """Run all units in worker processes, and print each result when it is there."""
+    totals = Totals()
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(WORKER_COUNT, mp_context=context) as executor:
+        for future in as_completed(executor.submit(run_unit, unit) for unit in units):
+            result = future.result()
+            verdict = "FAILED" if result.failed else "ok"
+            print(f"{result.name} ... {verdict} ({result.seconds:.1f} s)", flush=True)
+            if result.failed:
+                print(result.output, flush=True)
+            totals.passed += result.passed
+            totals.skipped += result.skipped
+            totals.failed += result.failed
+    return totals
+
+
 def main() -> int:
     """Run the tests given on the command line, or all tests; return the exit code."""
     loader = unittest.TestLoader()
@@ -30,15 +56,19 @@
         suite = loader.loadTestsFromNames(names)
     else:
         suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner(verbosity=2, resultclass=_CountingResult).run(suite)
+    for error in loader.errors:
+        print(error)
+    units = split_into_units(suite)
+    totals = run_units(units)
     known_failures = read_known_failures()
-    failed = [test.id() for test, _ in (*result.failures, *result.errors)]
-    for test_id in failed:
+    for test_id in totals.failed:
         if test_id in known_failures:
             print("known red:", known_failures[test_id])
-    unexpected = [test_id for test_id in failed if test_id not in known_failures]
-    print(f"{_CountingResult.passed} passed, {len(unexpected)} failed")
-    return 1 if unexpected or not _CountingResult.passed else 0
+    unexpected = [test_id for test_id in totals.failed if test_id not in known_failures]
+    for test_id in unexpected:
+        print("failed:", test_id)
+    print(f"{totals.passed} passed, {len(unexpected)} failed, {totals.skipped} skipped")
+    return 1 if unexpected or loader.errors or not totals.passed else 0
 
 
 if __name__ == "__main__":
--- a/tests/fakes/ports.py
+++ b/tests/fakes/ports.py
@@ -3,23 +3,28 @@
 import itertools
 import os
 import socket
+from collections import deque
+from contextlib import suppress
 
 LISTEN_PORT_RANGE = (32_100, 32_700)
 """Below the kernel's range for outgoing connections, above the range of tests.fakes.fleet."""
 
 _COUNT = LISTEN_PORT_RANGE[1] - LISTEN_PORT_RANGE[0]
 _turn = itertools.count(os.getpid() * 37)
+_reservations: deque[socket.socket] = deque(maxlen=_COUNT // 4)
+"""A UDP socket on each recently returned port keeps other test processes from taking it."""
 
 
 def free_port() -> int:
     """Return a free port of the loopback address, a different one on each call."""
     for _ in range(_COUNT):
         port = LISTEN_PORT_RANGE[0] + next(_turn) % _COUNT
-        with socket.socket() as sock:
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
+        with suppress(OSError), socket.socket() as sock:
+            reservation.bind(("127.0.0.1", port))
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+            sock.bind(("127.0.0.1", port))
+            _reservations.append(reservation)
             return port
+        reservation.close()
     raise RuntimeError("no free port")
