Mend two red entries whose verdict hung on the machine's load

The occupied address: the test took a port of the kernel's outgoing range, so the port before it could belong to another connection, which the command then named first. It now takes a reserved range. Samples without version spans: a sample that was generated under the second version had to be delivered before the fourth was published, 2.1 s after the start; under load none was. The scenario now waits for such a sample, at most 5 s, and publishes the other versions at the pace as before.

--- a/tests/command_line/test_command_line.py
+++ b/tests/command_line/test_command_line.py
@@ -16,7 +16,14 @@
 from hypothesis import strategies as st
 
 from acaciarill.dev import CALLERS_PORT_OFFSET
-from tests.fakes.fleet import ROOT, Fleet, bearer_header, example_config, wait_for
+from tests.fakes.fleet import (
+    ROOT,
+    Fleet,
+    bearer_header,
+    example_config,
+    reserve_ports,
+    wait_for,
+)
 
 FILINGS_PATH, LEDGER_PATH, LOOKUP_PATH = "/almaty/filings/x", "/almaty/ledger", "/almaty/lookup"
 
@@ -111,11 +118,12 @@
 
     def test_dev_reports_an_occupied_address_in_one_line(self) -> None:
         for offset in (CALLERS_PORT_OFFSET, 2):  # a port of the daemon, a port of a stand-in
-            with socket.socket() as occupied_socket:
-                occupied_socket.bind(("127.0.0.1", 0))
+            base_port, reservation = reserve_ports()
+            port = base_port + offset
+            with reservation, socket.socket() as occupied_socket:
+                occupied_socket.bind(("127.0.0.1", port))
                 occupied_socket.listen()
-                port = occupied_socket.getsockname()[1]
-                process = self.run_command("dev", "--base-port", str(port - offset))
+                process = self.run_command("dev", "--base-port", str(base_port))
             self.assertEqual(process.returncode, 3)
             lines = process.stderr.strip().splitlines()
             self.assertEqual(len(lines), 1, process.stderr)
--- a/tests/proofs/sample_scenarios.py
+++ b/tests/proofs/sample_scenarios.py
@@ -2,11 +2,32 @@
 
 import anyio
 
-from tests.fakes.fleet import example_config, running_fleet
+from tests.fakes.fleet import Fleet, example_config, running_fleet
 from tests.proofs import checkers
 from tests.proofs.history import Client, run_step
 from tests.proofs.scenario_base import ALMATY, STALENESS_BOUND, Report, run_workload
 
+FIRST_DELIVERY_TIMEOUT_S = 5.0
+
+
+async def _wait_until_delivered_from(version: int, client: Client, fleet: Fleet) -> None:
+    """Wait until a sample that was generated under a version is delivered, for a limited time.
+
+    Without such a sample the run shows nothing about the versions of samples.
+    """
+    with anyio.move_on_after(FIRST_DELIVERY_TIMEOUT_S):
+        while not _is_delivered_from(version, client, fleet):
+            await anyio.sleep(0.1)
+
+
+def _is_delivered_from(version: int, client: Client, fleet: Fleet) -> bool:
+    generated_ids = {
+        record["request_id"]
+        for record in fleet.records("ledger-*")
+        if record["event"] == "generated" and record["spans"][-1]["version"] >= version
+    }
+    return any(d.sample["sample_id"] in generated_ids for d in client.history.delivered)
+
 
 def samples(seed: int, weakening: str = "") -> Report:
     """Kill a daemon, lose pull responses and publish weights while a trainer runs a step.
@@ -29,6 +50,8 @@
                 version = next_version
                 client.history.record_failure("weights published")
                 await anyio.sleep(0.8)
+                if next_version == 2:
+                    await _wait_until_delivered_from(next_version, client, fleet)
                 if next_version == 3:
                     client.history.record_failure(f"killed {victim.name}")
                     victim.kill()
