Do not count a mirror as followed whose watcher has lost the store

Cause of the red entry of upstreams removed during a store outage: a daemon that follows a peer counted its mirrors as followed after each response, also one of a peer whose own watch had just failed. The response now lists the kinds that its sender fails to follow.

--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -130,9 +130,10 @@
             )
         self.watcher = watcher.name
         self.failures.pop(watcher.name, None)
-        for follower in self.followers.values():
+        failing_kinds = frame.views_changed.failing or []
+        for kind, follower in self.followers.items():
             follower.pause()
-            follower.set_following(True)
+            follower.set_following(kind not in failing_kinds, "the watcher lost the store")
 
     def _apply(self, follower: MirrorFollower, update: Any) -> None:
         if update.lost_s_ago is not None:
@@ -173,7 +174,8 @@
         self._check_up_to_date()
         changed = self._changed_kinds(positions)
         views = {kind: self._encode_changes(kind, positions[kind]) for kind in changed}
-        return {"views_changed": messages.ViewsChanged(views=views)}
+        failing = [kind for kind, f in self.followers.items() if f.failing_since is not None]
+        return {"views_changed": messages.ViewsChanged(views=views, failing=failing)}
 
     def _changed_kinds(self, positions: dict[str, int]) -> list[str]:
         return [
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -241,8 +241,10 @@
   5: optional double lost_s_ago,
 }
 
+// `failing` lists the kinds whose mirror the sender currently fails to keep up to date.
 struct ViewsChanged {
   1: map<string, ViewChanges> views,
+  2: optional list<string> failing,
 }
 
 // Relays a call to the object store for a daemon whose own calls the store rejects or does not
--- a/tests/fleet_daemon/test_feed.py
+++ b/tests/fleet_daemon/test_feed.py
@@ -212,6 +212,15 @@
         await self.follow_once()
         self.assertAlmostEqual(self.followers["config"].last_failure_at or 0.0, 100.0)
 
+    async def test_mirror_that_the_watcher_fails_to_follow_does_not_count_as_followed(self) -> None:
+        # It may miss changes, so upstreams that vanish next get the grace period of an outage.
+        self.keepers["ka"]["config"].set_following(False)
+        await self.follow_once()
+        self.assertFalse(self.followers["config"].is_following)
+        self.keepers["ka"]["config"].set_following(True)
+        await self.follow_once()
+        self.assertTrue(self.followers["config"].is_following)
+
     async def test_mirror_that_is_not_loaded_is_refused(self) -> None:
         self.links.servers["ka"] = MirrorServer(self._followers(), lambda: self.now)
         with self.assertRaises(AcaciarillError):
