Back off from engines that do not accept weight loads

Cause: an engine that is gone stays registered for seconds, and its address may belong to another service. Change: a delay that doubles from 0.4 s up to 3.2 s.

--- a/acaciarill/control/__init__.py
+++ b/acaciarill/control/__init__.py
@@ -4,6 +4,7 @@
 from ._scale import FleetDemand, FleetPlan, ScaleDuty, plan_fleet
 from ._usage import StartedRequestCounter, UsageDuty
 from ._weights import (
+    OrderBackoff,
     OrderOutcome,
     OrderWeightLoad,
     PendingWeightLoad,
@@ -17,6 +18,7 @@
 __all__ = [
     "FleetDemand",
     "FleetPlan",
+    "OrderBackoff",
     "OrderOutcome",
     "OrderWeightLoad",
     "PendingWeightLoad",
--- a/acaciarill/control/_weights.py
+++ b/acaciarill/control/_weights.py
@@ -6,9 +6,10 @@
 
 import math
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
+from types import MappingProxyType
 
 import anyio
 import anyio.abc
@@ -32,6 +33,10 @@
 unusable."""
 LOAD_DURATION_S = 0.95
 """Duration of a load while at most MAX_CONCURRENT_LOADS run, the limit of the users' site."""
+ORDER_BACKOFF_S = 0.4
+"""An engine that did not accept an order gets the next one after this time, which doubles with each
+further order. The engines that accept orders are loaded meanwhile."""
+ORDER_BACKOFF_MAX_S = 3.2
 LOAD_POLL_S = 0.15
 LOAD_POLL_TIMEOUT_S = 3.0
 REBALANCE_GAP_ENGINES = 2
@@ -65,6 +70,19 @@
     expires_at: float
 
 
+@dataclass(slots=True)
+class OrderBackoff:
+    """Represent consecutive orders that an engine did not accept; `until` is in seconds."""
+
+    count: int = 0
+    until: float = 0.0
+
+    def extend(self, now: float) -> None:
+        """Start the next backoff."""
+        self.until = now + min(ORDER_BACKOFF_MAX_S, ORDER_BACKOFF_S * 2**self.count)
+        self.count += 1
+
+
 @dataclass(slots=True, frozen=True)
 class WeightLoad:
     """Represent a load to order; one that is not urgent is limited to an idle engine."""
@@ -137,6 +155,7 @@
     pending_loads: dict[str, PendingWeightLoad],
     now: float,
     max_concurrent: int = MAX_CONCURRENT_LOADS,
+    backoffs: Mapping[str, OrderBackoff] = MappingProxyType({}),
 ) -> list[WeightLoad]:
     """Return the loads to order now, at most `max_concurrent` including those already running.
 
@@ -169,6 +188,7 @@
             or state in loading_states
             or state.deregistered
             or state.upstream.draining
+            or _is_backing_off(state, backoffs, now)
         ):
             continue
         lag = _version_lag(state, model, published_versions)
@@ -203,6 +223,11 @@
     return (state.newest_version(order.model) or order.version) < order.version
 
 
+def _is_backing_off(state: UpstreamState, backoffs: Mapping[str, OrderBackoff], now: float) -> bool:
+    backoff = backoffs.get(state.upstream.id)
+    return backoff is not None and backoff.until > now
+
+
 class WeightsDuty:
     """Order loads of the published versions while the lease is held."""
 
@@ -227,10 +252,13 @@
         self.assignments: dict[str, str] = {}
         self.seen_versions: dict[str, int] = {}
         self.idle_delay_starts: dict[str, float] = {}
+        self.backoffs: dict[str, OrderBackoff] = {}
 
     async def run_once(self, lease: Lease) -> None:
         """Choose the loads of each service and send their orders concurrently."""
         now = self.clock()
+        for upstream_id in self.backoffs.keys() - self.table.states.keys():
+            del self.backoffs[upstream_id]
         published_versions = self.published_versions()
         for model, version in published_versions.items():
             if self.seen_versions.get(model) != version:
@@ -247,6 +275,7 @@
                     self.idle_delay_starts,
                     self.pending_loads,
                     now,
+                    backoffs=self.backoffs,
                 ):
                     expires_at = now + ORDER_RETRY_DELAY_S
                     self.pending_loads[load.state.upstream.id] = PendingWeightLoad(
@@ -268,10 +297,14 @@
                 reason=error.message,
             )
             # The engine may still carry out this order; the next order then replaces it.
-            self.pending_loads.pop(upstream.id, None)
+            self._back_off(upstream.id)
             return
-        if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_LOADED):
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_LOADED):
+            self.backoffs.pop(upstream.id, None)
+        elif outcome is OrderOutcome.IN_USE:
             self.pending_loads.pop(upstream.id, None)
+        else:
+            self._back_off(upstream.id)
         if outcome is OrderOutcome.IN_USE:
             self.idle_delay_starts[load.model] = self.clock()
             return
@@ -285,7 +318,12 @@
             outcome=str(outcome),
             epoch=lease.epoch,
         )
-        self.task_group.start_soon(self._announce_when_loaded, load)
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_LOADED):
+            self.task_group.start_soon(self._announce_when_loaded, load)
+
+    def _back_off(self, upstream_id: str) -> None:
+        self.pending_loads.pop(upstream_id, None)
+        self.backoffs.setdefault(upstream_id, OrderBackoff()).extend(self.clock())
 
     async def _announce_when_loaded(self, load: WeightLoad) -> None:
         """Announce a finished load; the engine's entry in the store shows it a second later."""
--- a/tests/control/test_weights.py
+++ b/tests/control/test_weights.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from acaciarill.control import PendingWeightLoad, assign_models, choose_weight_loads
+from acaciarill.control import (
+    OrderBackoff,
+    PendingWeightLoad,
+    assign_models,
+    choose_weight_loads,
+)
 from acaciarill.fleet import Upstream, UpstreamState
 
 
@@ -41,10 +46,17 @@
         version: int,
         now: float,
         pending_loads: dict[str, PendingWeightLoad] | None = None,
+        backoffs: dict[str, OrderBackoff] | None = None,
     ) -> list[tuple[str, bool]]:
         assignments = {state.upstream.id: "a" for state in engines}
         loads = choose_weight_loads(
-            engines, assignments, {"a": version}, {"a": 0.0}, pending_loads or {}, now
+            engines,
+            assignments,
+            {"a": version},
+            {"a": 0.0},
+            pending_loads or {},
+            now,
+            backoffs=backoffs or {},
         )
         return [(load.state.upstream.id, load.urgent) for load in loads]
 
@@ -84,3 +96,16 @@
         pending_loads = {"e1": PendingWeightLoad("a", 5, 9.0)}
         loads = choose_weight_loads([state], {"e1": "b"}, {"a": 5, "b": 4}, {}, pending_loads, 1.0)
         self.assertEqual([(load.model, load.version) for load in loads], [("b", 4)])
+
+    def test_engines_that_refuse_orders_do_not_hold_up_the_loads_of_the_others(self) -> None:
+        # Two crashed engines stay registered for seconds, and their addresses belong to others.
+        engines = [engine("gone1", a=1), engine("gone2", a=1), engine("e1", a=3), engine("e2", a=3)]
+        backoffs = {"gone1": OrderBackoff(), "gone2": OrderBackoff()}
+        for backoff in backoffs.values():
+            backoff.extend(0.0)
+        loads = self.choose(engines, 5, 0.2, backoffs=backoffs)
+        self.assertEqual(loads, [("e1", True), ("e2", True)])
+        for backoff in backoffs.values():
+            backoff.extend(0.5)
+        self.assertEqual(self.choose(engines, 5, 1.2, backoffs=backoffs)[0], ("e1", True))
+        self.assertEqual(self.choose(engines, 5, 1.4, backoffs=backoffs)[0], ("gone1", True))
