Measure the pace of engines between bursts, and move streams by the expected gain

The mean interval between events followed single intervals; events that are read late arrive together, so the mean of an engine dropped, and all others were over 1.7 times the fastest. Each stop cost 0.2 s of waiting, the prompt and often a new connection, and the streams then crowded a few engines. Groups were also sent to the engine with their prompt however full it was; an engine generates a third more slowly with 16 streams than with one. Change: the interval is measured over four events and more, between the first events of bursts; a stream moves if it is expected to end eight events sooner elsewhere, as many events to come as there are; no more move than slots are free, without a wait; prompts attract only while the load is an eighth above the lowest. Only accepted events count as progress, not bytes.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -34,6 +34,8 @@
     SCORE_TIMEOUT_S,
     STATE_COMPLETED,
     STATE_FAILED,
+    STOP_IDLE,
+    STOP_SLOW,
     TAKEOVER_DELAY_S,
 )
 
@@ -242,7 +244,9 @@
                 if failures >= route.max_attempts:
                     raise _ItemFailedError("all allowed attempts failed")
             avoided_upstream = state.upstream.id
-            await anyio.sleep(FULL_RETRY_DELAY_S if reason == "not run" else FAILED_RETRY_DELAY_S)
+            if reason not in (STOP_IDLE, STOP_SLOW):  # these have a free slot elsewhere
+                delay_s = FULL_RETRY_DELAY_S if reason == "not run" else FAILED_RETRY_DELAY_S
+                await anyio.sleep(delay_s)
 
     def _slot_request(
         self,
@@ -335,7 +339,7 @@
                     if text.last_event_id is not None and event.id != text.last_event_id + 1:
                         return head.status, "event id is not consecutive"
                     text.append_event(event.id, event.data, version)
-                stream.record_event(ports.clock())
+                    stream.record_event(ports.clock())
         state.record_success()
         return STATUS_OK, ""
 
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -1,22 +1,39 @@
 """Assign engine slots to the items of this daemon's batches, in order of rank."""
 
-from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable
+from collections import Counter, OrderedDict
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from statistics import median
+from types import MappingProxyType
 
 import anyio
 
 from ..fleet import UpstreamState, UpstreamTable
-from ..fleet.const import SLOW_ENGINE_FACTOR
+from ..fleet.const import EVENT_INTERVAL_MAX_S, SLOW_ENGINE_FACTOR
 from .const import (
+    BURST_GAP_S,
+    EVENTS_PER_PACE_SAMPLE,
     MAX_TRACKED_GROUPS,
-    MIN_EVENTS_BEFORE_SLOW_STOP,
+    MIN_SAVED_EVENTS,
+    PREFIX_LOAD_MARGIN,
     SOFT_STALL_TIMEOUT_S,
     STALL_TIMEOUT_S,
+    STOP_IDLE,
+    STOP_SLOW,
+    STOP_STALLED,
 )
 
 
+def is_move_worthwhile(event_count: int, own_interval_s: float, other_interval_s: float) -> bool:
+    """Return whether a text is expected to end enough sooner on an engine with another pace.
+
+    Lengths of texts have a heavy tail: as many events are expected to follow as there are already.
+    """
+    saved_s = event_count * (own_interval_s - other_interval_s)
+    return saved_s >= MIN_SAVED_EVENTS * other_interval_s
+
+
 @dataclass(slots=True)
 class SlotRequest:
     """Describe the engine that an item needs; the request with the lowest `rank` is served first.
@@ -44,11 +61,28 @@
     event_count: int = 0
     stop_reason: str = ""
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    sample_started_at: float = 0.0
+    sampled_events: int = 0
+    paused: bool = False
 
     def record_event(self, now: float) -> None:
-        """Record a received chunk as one event and update the engine's mean event interval."""
-        if self.event_count:
-            self.state.record_event_interval(now - self.last_event_at, now)
+        """Record an event and, after every few, update the engine's mean event interval.
+
+        Events that a busy daemon reads late arrive together; samples start and end at the first
+        event of such a burst. A single long interval is a weight load or a lost event and does not
+        count; further ones do.
+        """
+        interval_s = now - self.last_event_at
+        is_pause = interval_s > EVENT_INTERVAL_MAX_S and not self.paused
+        if not self.event_count or is_pause:
+            self.sample_started_at, self.sampled_events = now, 0
+        else:
+            self.sampled_events += 1
+        self.paused = is_pause
+        if self.sampled_events >= EVENTS_PER_PACE_SAMPLE and interval_s > BURST_GAP_S:
+            sample_s = now - self.sample_started_at
+            self.state.record_event_interval(sample_s / self.sampled_events, now)
+            self.sample_started_at, self.sampled_events = now, 0
         self.event_count += 1
         self.last_event_at = now
 
@@ -110,34 +144,58 @@
             self.group_upstreams.popitem(last=False)
 
     def stop_lagging_streams(self) -> None:
-        """Stop stalled streams, and idle or slow ones if a better engine has a free slot."""
+        """Stop stalled streams, and idle or slow ones that a free slot elsewhere serves better."""
         now = self.clock()
-        for stream in list(self.active_streams):
+        claimed_slots: Counter[str] = Counter()
+        for stream in sorted(self.active_streams, key=lambda stream: -stream.event_count):
             if stream.stop_reason:
                 continue
-            idle_s = now - stream.last_event_at
-            if idle_s >= STALL_TIMEOUT_S:
-                stream.stop_reason = "no event within the stall timeout"
-            elif idle_s >= SOFT_STALL_TIMEOUT_S and self._find_alternative(stream, now) is not None:
-                stream.stop_reason = "no event lately and another engine is free"
-            elif stream.event_count >= MIN_EVENTS_BEFORE_SLOW_STOP and self._has_faster_alternative(
-                stream, now
-            ):
-                stream.stop_reason = "slow engine"
-            if stream.stop_reason:
-                if stream.stop_reason != "slow engine":
-                    stream.state.record_failure(now)
-                stream.scope.cancel()
+            stream.stop_reason = self._find_stop_reason(stream, claimed_slots, now)
+            if not stream.stop_reason:
+                continue
+            if stream.stop_reason != STOP_SLOW:
+                stream.state.record_failure(now)
+            stream.scope.cancel()
 
-    def _find_alternative(self, stream: ActiveStream, now: float) -> UpstreamState | None:
-        candidate = self._choose_upstream(stream.slot_request, now)
-        return None if candidate is stream.state else candidate
+    def _find_stop_reason(
+        self, stream: ActiveStream, claimed_slots: Counter[str], now: float
+    ) -> str:
+        """Return why a stream must be stopped, or an empty string; claim the slot it moves to."""
+        idle_s = now - stream.last_event_at
+        if idle_s >= STALL_TIMEOUT_S:
+            return STOP_STALLED
+        alternative = self._choose_upstream(stream.slot_request, now, claimed_slots)
+        if alternative is None or alternative is stream.state:
+            return ""
+        if idle_s >= SOFT_STALL_TIMEOUT_S:
+            claimed_slots[alternative.upstream.id] += 1
+            return STOP_IDLE
+        if self._is_faster_elsewhere(stream, alternative, now):
+            claimed_slots[alternative.upstream.id] += 1
+            return STOP_SLOW
+        return ""
 
-    def _has_faster_alternative(self, stream: ActiveStream, now: float) -> bool:
-        alternative = self._find_alternative(stream, now)
-        if alternative is None or not self._is_slow(stream.state, stream.slot_request, now):
+    def _is_faster_elsewhere(
+        self, stream: ActiveStream, alternative: UpstreamState, now: float
+    ) -> bool:
+        own_interval_s = stream.state.mean_event_interval_s(now)
+        if own_interval_s is None:
             return False
-        return not self._is_slow(alternative, stream.slot_request, now)
+        other_interval_s = alternative.mean_event_interval_s(now)
+        if other_interval_s is None:
+            other_interval_s = self._typical_interval_s(stream, now)
+        if other_interval_s is None:
+            return False
+        return is_move_worthwhile(stream.event_count, own_interval_s, other_interval_s)
+
+    def _typical_interval_s(self, stream: ActiveStream, now: float) -> float | None:
+        """Return the median event interval of the service's other engines, or None if unknown."""
+        intervals_s = [
+            interval_s
+            for state in self.table.states_for(stream.slot_request.service)
+            if state is not stream.state and (interval_s := state.mean_event_interval_s(now))
+        ]
+        return median(intervals_s) if intervals_s else None
 
     def _is_slow(self, state: UpstreamState, slot_request: SlotRequest, now: float) -> bool:
         """Return whether the engine's events take much longer than those of the fastest engine."""
@@ -151,19 +209,25 @@
         ]
         return own_interval_s > SLOW_ENGINE_FACTOR * min(intervals_s, default=own_interval_s)
 
-    def _choose_upstream(self, slot_request: SlotRequest, now: float) -> UpstreamState | None:
+    def _choose_upstream(
+        self,
+        slot_request: SlotRequest,
+        now: float,
+        claimed_slots: Mapping[str, int] = MappingProxyType({}),
+    ) -> UpstreamState | None:
         """Return the preferred engine with a free slot, or None.
 
         The avoided engine is used only if no other has a free slot. Engines that are not slow come
-        first, then the group's last engine, which has processed the group's prompt, then the
-        engines with the lowest load, then those of this data centre.
+        first, then the group's last engine, which has processed the group's prompt, unless it is
+        more loaded than others, then the engines with the lowest load, then those of this data
+        centre.
         """
         available = [
             state
             for state in self.table.states_for(slot_request.service)
             if state.is_usable(now)
             and state.overloaded_until <= now
-            and state.free_slots(now) > 0
+            and state.free_slots(now) > claimed_slots.get(state.upstream.id, 0)
             and _has_required_version(slot_request, state)
         ]
         if not available:
@@ -172,11 +236,12 @@
             state for state in available if state.upstream.id != slot_request.avoided_upstream
         ] or available
         group_upstream = self.group_upstreams.get(slot_request.group)
+        load_limit = PREFIX_LOAD_MARGIN + min(state.load_per_slot(now) for state in candidates)
         return min(
             candidates,
             key=lambda state: (
                 self._is_slow(state, slot_request, now),
-                state.upstream.id != group_upstream,
+                state.upstream.id != group_upstream or state.load_per_slot(now) > load_limit,
                 state.load_per_slot(now),
                 state.upstream.data_centre != self.table.data_centre,
             ),
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -43,8 +43,19 @@
 """A stream without an event for this time is resumed on another engine if one has a free slot:
 events come every 40 ms, processing a prompt again takes a few ms, and a weight load stops events
 for 0.9 s."""
-MIN_EVENTS_BEFORE_SLOW_STOP = 6
-"""Events that a stream must have delivered before it can be stopped as slow."""
+PREFIX_LOAD_MARGIN = 0.125
+"""An engine that has processed a group's prompt is preferred while its load, as a share of its
+slots, is at most this much above the lowest: a more loaded engine generates more slowly."""
+STOP_STALLED = "no event within the stall timeout"
+STOP_IDLE = "no event lately and another engine is free"
+STOP_SLOW = "slow engine"
+EVENTS_PER_PACE_SAMPLE = 4
+"""Consecutive events of a stream from which its engine's event interval is measured."""
+BURST_GAP_S = 0.002
+"""Events of a stream that arrive within this time of each other were read together."""
+MIN_SAVED_EVENTS = 8
+"""A stream is moved if it is expected to end earlier by the time of this many events, which is more
+than processing the prompt and the text again takes."""
 FULL_RETRY_DELAY_S = 0.1
 FAILED_RETRY_DELAY_S = 0.2
 SCORE_TIMEOUT_S = 3.0
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -10,7 +10,6 @@
 from .const import (
     EJECTION_BASE_S,
     EJECTION_MAX_S,
-    EVENT_INTERVAL_MAX_S,
     EVENT_INTERVAL_TTL_S,
     EVENT_INTERVAL_WEIGHT,
     LOAD_REPORT_TTL_S,
@@ -68,9 +67,7 @@
         return registered if observed is None or registered is None else max(registered, observed)
 
     def record_event_interval(self, interval_s: float, now: float) -> None:
-        """Add the time between two events of a stream to the upstream's moving average."""
-        if interval_s > EVENT_INTERVAL_MAX_S:
-            return
+        """Add a time between events of a stream to the upstream's moving average."""
         if now - self.event_interval_updated_at > EVENT_INTERVAL_TTL_S:
             self.event_interval_s = interval_s
         self.event_interval_s += EVENT_INTERVAL_WEIGHT * (interval_s - self.event_interval_s)
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -5,9 +5,9 @@
 
 import anyio
 
-from acaciarill.batches import EngineScheduler, SlotRequest
-from acaciarill.batches.const import MAX_TRACKED_GROUPS
-from acaciarill.fleet import Upstream, UpstreamTable
+from acaciarill.batches import ActiveStream, EngineScheduler, SlotRequest
+from acaciarill.batches.const import MAX_TRACKED_GROUPS, STOP_IDLE, STOP_SLOW
+from acaciarill.fleet import Upstream, UpstreamState, UpstreamTable
 
 
 def slot_request(
@@ -75,3 +75,109 @@
         await self.acquire_slots([slot_request(), slot_request(), slot_request()])
         self.assertEqual(self.table.states["e1"].in_flight, 0)
         self.assertEqual(self.scheduler.waiters, [])
+
+    async def test_long_prompt_group_spreads_when_its_engine_is_crowded(self) -> None:
+        # A step's groups start together; an engine generates more slowly the more it runs.
+        self.register_engines(**{f"e{number}": 1 for number in range(8)})
+        assignments = await self.acquire_slots([slot_request(0, "g") for _ in range(8)])
+        self.assertEqual(len(set(assignments)), 8)
+
+
+class MovedStreamsTest(unittest.IsolatedAsyncioTestCase):
+    """Move a stream only if its text is expected to end sooner elsewhere."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.table = UpstreamTable("dc", lambda: self.now, random.Random(1))
+        self.scheduler = EngineScheduler(self.table, lambda: self.now)
+
+    def register_engines(self, slots: int, *names: str) -> list[UpstreamState]:
+        self.table.update(
+            [
+                Upstream(name, name, "llm", "10.0.0.1:1", "dc", slots, versions={"a": 1})
+                for name in names
+            ]
+        )
+        return [self.table.states[name] for name in names]
+
+    def start_stream(self, state: UpstreamState) -> ActiveStream:
+        request = slot_request(group=state.upstream.id, avoided_upstream=state.upstream.id)
+        stream = ActiveStream(request, state, self.now)
+        state.in_flight += 1
+        self.scheduler.active_streams.append(stream)
+        return stream
+
+    def generate(self, paces: dict[str, float], duration_s: float, read_period_s: float) -> None:
+        """Let engines generate at seconds per event, and read what is there each period."""
+        for _ in range(round(duration_s / read_period_s)):
+            self.now += read_period_s
+            for stream in self.scheduler.active_streams:
+                generated = int((self.now - 100.0) / paces[stream.state.upstream.id])
+                for _ in range(generated - stream.event_count):
+                    stream.record_event(self.now)
+
+    async def test_events_that_are_read_in_bursts_do_not_make_other_engines_slow(self) -> None:
+        # A busy daemon reads the events of some engines late, several at once.
+        bursty, even, free = self.register_engines(16, "bursty", "even", "free")
+        for _ in range(8):
+            self.start_stream(bursty)
+            self.start_stream(even)
+        for step in range(20):
+            self.now = 100.0 + 0.12 * step
+            for stream in self.scheduler.active_streams:
+                count = 3 if stream.state is bursty else 0
+                for _ in range(count):
+                    stream.record_event(self.now)
+            for _ in range(3):
+                self.now += 0.04
+                for stream in self.scheduler.active_streams:
+                    if stream.state is even:
+                        stream.record_event(self.now)
+            self.scheduler.stop_lagging_streams()
+        self.assertEqual([s for s in self.scheduler.active_streams if s.stop_reason], [])
+
+    async def test_stream_of_a_slow_engine_is_moved_after_a_few_events(self) -> None:
+        slow, sound = self.register_engines(16, "slow", "sound")
+        stream = self.start_stream(slow)
+        self.start_stream(sound)
+        self.generate({"slow": 0.14, "sound": 0.04}, 0.6, 0.02)
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual(stream.stop_reason, "")
+        self.generate({"slow": 0.14, "sound": 0.04}, 0.9, 0.02)
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual(stream.stop_reason, STOP_SLOW)
+
+    async def test_long_text_leaves_a_crowded_engine_and_a_short_one_stays(self) -> None:
+        crowded, empty = self.register_engines(16, "crowded", "empty")
+        long, short = self.start_stream(crowded), self.start_stream(crowded)
+        self.start_stream(empty)
+        for count, stream in ((60, long), (10, short), (60, self.scheduler.active_streams[2])):
+            pace = 0.032 if stream.state is empty else 0.042
+            self.now = 100.0
+            for _ in range(count):
+                self.now += pace
+                stream.record_event(self.now)
+            stream.last_event_at = 102.5
+        self.now = 102.6
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual([long.stop_reason, short.stop_reason], [STOP_SLOW, ""])
+
+    async def test_no_more_streams_are_moved_than_slots_are_free(self) -> None:
+        slow, sound = self.register_engines(4, "slow", "sound")
+        moved = [self.start_stream(slow) for _ in range(4)]
+        for _ in range(3):
+            self.start_stream(sound)
+        self.generate({"slow": 0.2, "sound": 0.04}, 3.0, 0.02)
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual([stream.stop_reason for stream in moved].count(STOP_SLOW), 1)
+
+    async def test_silent_stream_is_moved_once_an_engine_has_a_free_slot(self) -> None:
+        silent, full = self.register_engines(1, "silent", "full")
+        stream = self.start_stream(silent)
+        full.in_flight = 1
+        self.now += 1.0
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual(stream.stop_reason, "")
+        full.in_flight = 0
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual(stream.stop_reason, STOP_IDLE)
