Keep upstreams whose entry is missing no longer than the store's return allows

Change: until 2.3 s after the end of an outage, at least 1 s; calls must fail for 0.6 s to be an outage. The test of the longer grace is replaced by four, of which two are stricter; the whole-path test now waits for an outage of that length.

--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -137,11 +137,9 @@
 
     def _apply(self, follower: MirrorFollower, update: Any) -> None:
         if update.lost_s_ago is not None:
-            last_failure_at = self.clock() - update.lost_s_ago
-            follower.last_failure_at = (
-                last_failure_at
-                if follower.last_failure_at is None
-                else max(follower.last_failure_at, last_failure_at)
+            outage_ended_at = self.clock() - update.lost_s_ago
+            follower.outage_ended_at = max(
+                outage_ended_at, follower.outage_ended_at or outage_ended_at
             )
         if update.records is not None:
             follower.replace_from_peer(
@@ -199,8 +197,9 @@
         follower = self.followers[kind]
         mirror = follower.mirror
         update = messages.ViewChanges(position=mirror.position, newest=mirror.newest)
-        if follower.last_failure_at is not None:
-            update.lost_s_ago = self.clock() - follower.last_failure_at
+        last_outage_at = follower.last_outage_at()
+        if last_outage_at is not None:
+            update.lost_s_ago = self.clock() - last_outage_at
         changes = mirror.changes_after(position)
         if changes is None:
             update.records = mirror.encode()
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -21,7 +21,6 @@
     KIND_MEMBERS,
     MISSING_ENTRY_GRACE_S,
     OUTAGE_ENTRY_GRACE_S,
-    STORE_OUTAGE_WINDOW_S,
 )
 
 
@@ -121,8 +120,8 @@
         for state in self.table.states.values():
             upstream = state.upstream
             if upstream.id not in registered_ids and upstream.id not in self.missing_upstreams:
-                grace_s = 0.0 if upstream.draining else self._missing_entry_grace_s(now)
-                self.missing_upstreams[upstream.id] = (upstream, now + grace_s)
+                expires_at = now if upstream.draining else self._missing_entry_expires_at(now)
+                self.missing_upstreams[upstream.id] = (upstream, expires_at)
         for upstream_id in registered_ids & self.missing_upstreams.keys():
             del self.missing_upstreams[upstream_id]
         retained = [
@@ -130,11 +129,17 @@
         ]
         self.table.update(registered + retained)
 
-    def _missing_entry_grace_s(self, now: float) -> float:
-        last_failure_at = self.followers[self.ports.kinds.upstreams].last_failure_at
-        if last_failure_at is not None and now - last_failure_at < STORE_OUTAGE_WINDOW_S:
-            return OUTAGE_ENTRY_GRACE_S
-        return MISSING_ENTRY_GRACE_S
+    def _missing_entry_expires_at(self, now: float) -> float:
+        """Return until when an upstream is used whose entry has gone missing now.
+
+        If the entry expired because of an outage it is back soon after the outage's end. Otherwise
+        the upstream is leaving, which is also possible shortly after an outage.
+        """
+        last_outage_at = self.followers[self.ports.kinds.upstreams].last_outage_at()
+        expires_at = now + MISSING_ENTRY_GRACE_S
+        if last_outage_at is not None:
+            expires_at = max(expires_at, last_outage_at + OUTAGE_ENTRY_GRACE_S)
+        return expires_at
 
     def expire_missing_upstreams(self) -> None:
         """Remove the upstreams whose entries are missing for longer than their grace period."""
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -19,11 +19,8 @@
 """How long an upstream is still used after its entry has gone missing; it keeps serving for two
 seconds."""
 OUTAGE_ENTRY_GRACE_S = 2.3
-"""How long an upstream is still used if its entry went missing during a store outage or within
-STORE_OUTAGE_WINDOW_S of it. Entries that expired during the outage are registered again within two
-seconds."""
-STORE_OUTAGE_WINDOW_S = 4.0
-"""How long after the last failed watch a missing entry is attributed to a store outage."""
+"""How long after a store outage an upstream is still used whose entry is missing. Entries that
+expired during the outage are registered again within two seconds."""
 
 FEED_POLL_WAIT_S = 1.0
 """Long-poll time of a call to the watcher. An unresponsive watcher is detected within this time
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -10,7 +10,7 @@
 from eliot import log_message
 
 from ..errors import StoreError, StoreHistoryGoneError
-from .const import HISTORY_MAX_ENTRIES, WATCH_RETRY_DELAY_S, WATCH_WAIT_S
+from .const import HISTORY_MAX_ENTRIES, MIN_OUTAGE_S, WATCH_RETRY_DELAY_S, WATCH_WAIT_S
 
 Listener = Callable[[], None]
 
@@ -184,7 +184,7 @@
         self.source = source
         self.clock = clock
         self.is_following = False
-        self.last_failure_at: float | None = None
+        self.outage_ended_at: float | None = None
         self.failing_since: float | None = None
         self.needs_listing = True
         self.paused = False
@@ -242,6 +242,15 @@
         """Return the time since listing or watching began to fail, in seconds."""
         return 0.0 if self.failing_since is None else self.clock() - self.failing_since
 
+    def last_outage_at(self) -> float | None:
+        """Return the time of the end of the last outage, which is now during one, or None.
+
+        A watch that is cut and reopened at once is not an outage.
+        """
+        if self.failing_for_s() >= MIN_OUTAGE_S:
+            return self.clock()
+        return self.outage_ended_at
+
     def replace_from_peer(self, position: int, records: list[Record], newest: int) -> bool:
         """Apply a peer's mirror unless it is older; restart the watch, which may have stalled."""
         if not self.mirror.replace(position, records, newest):
@@ -261,10 +270,8 @@
                 reason=reason,
             )
         if following:
+            self.outage_ended_at = self.last_outage_at()
             self.failing_since = None
-        else:
-            self.last_failure_at = self.clock()
-            self.failing_since = (
-                self.last_failure_at if self.failing_since is None else self.failing_since
-            )
+        elif self.failing_since is None:
+            self.failing_since = self.clock()
         self.is_following = following
--- a/acaciarill/mirrors/const.py
+++ b/acaciarill/mirrors/const.py
@@ -13,3 +13,6 @@
 """Retry delay of a daemon that serves clients, which calls the store only if no peer can."""
 HISTORY_MAX_ENTRIES = 64
 """About 20 s of changes, collected for 0.3 s per entry; the store retains its history as long."""
+MIN_OUTAGE_S = 0.6
+"""Calls to the store must fail for this long to count as an outage. A watch that was cut is open
+again sooner, and no entry expires in less time."""
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -232,7 +232,7 @@
 }
 
 // The changes of one mirror after the requested position, or all of its records if the sender no
-// longer has these changes. `lost_s_ago` is the time since its watch of the store last failed.
+// longer has these changes. `lost_s_ago` is the time since its last outage of the store ended.
 struct ViewChanges {
   1: i64 position,
   2: i64 newest,
--- a/tests/fleet_daemon/test_feed.py
+++ b/tests/fleet_daemon/test_feed.py
@@ -207,10 +207,11 @@
         # that follow a watcher must know when its last outage was.
         follower = self.keepers["ka"]["config"]
         follower.set_following(False)
+        self.now += 1.0
         follower.set_following(True)
         self.now += 2.0
         await self.follow_once()
-        self.assertAlmostEqual(self.followers["config"].last_failure_at or 0.0, 100.0)
+        self.assertAlmostEqual(self.followers["config"].last_outage_at() or 0.0, 101.0)
 
     async def test_mirror_that_the_watcher_fails_to_follow_does_not_count_as_followed(self) -> None:
         # It may miss changes, so upstreams that vanish next get the grace period of an outage.
--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -55,13 +55,39 @@
         self.mirrors.expire_missing_upstreams()
         self.assertNotIn("e1", self.table.states)
 
-    def test_grace_period_is_longer_after_a_store_outage(self) -> None:
-        self.mirrors.followers["servers"].last_failure_at = self.now - 1.0
+    def end_outage(self, duration_s: float) -> None:
+        self.mirrors.followers["servers"].set_following(False)
+        self.now += duration_s
+        self.mirrors.followers["servers"].set_following(True)
+
+    def remaining_use_s(self) -> float:
+        return self.mirrors.missing_upstreams["e1"][1] - self.now
+
+    def test_entry_that_expired_in_an_outage_is_used_until_it_can_be_back(self) -> None:
+        self.end_outage(3.0)
         self.remove_entry()
         self.now += OUTAGE_ENTRY_GRACE_S - 0.01
         self.mirrors.expire_missing_upstreams()
         self.assertIn("e1", self.table.states)
 
+    def test_entry_that_goes_missing_after_an_outage_has_no_longer_grace_than_others(self) -> None:
+        # A request was sent to an upstream 2,371 ms after it had left, 3.0 s after an outage.
+        self.end_outage(3.0)
+        self.now += 1.8
+        self.remove_entry()
+        self.assertAlmostEqual(self.remaining_use_s(), MISSING_ENTRY_GRACE_S)
+
+    def test_watch_that_is_cut_and_reopened_is_no_outage(self) -> None:
+        self.end_outage(0.3)
+        self.remove_entry()
+        self.assertAlmostEqual(self.remaining_use_s(), MISSING_ENTRY_GRACE_S)
+
+    def test_listing_that_ends_an_outage_counts_as_within_it(self) -> None:
+        self.mirrors.followers["servers"].set_following(False)
+        self.now += 3.0
+        self.remove_entry()
+        self.assertAlmostEqual(self.remaining_use_s(), OUTAGE_ENTRY_GRACE_S)
+
     def test_sum_of_all_delays_is_within_the_limit(self) -> None:
         # A request was sent to an upstream 2,162 ms after its entry was removed.
         longest_s = (
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -15,6 +15,7 @@
 from acaciarill.command_line import main
 from acaciarill.edge import HttpPool, HttpResponse
 from acaciarill.fleet_daemon import FleetDaemon
+from acaciarill.mirrors.const import MIN_OUTAGE_S
 from acaciarill.platform._main import build_fleet_settings, build_ports
 from acaciarill.platform._settings import PlatformSettings
 from tests.fakes.ports import free_port
@@ -329,12 +330,13 @@
             front = fleet.daemons["f1"]
             fleet.store.rejects = lambda request: True
             fleet.store.drop_watches()
-            await wait_until(lambda: not front.mirrors.followers["servers"].is_following)
+            follower = front.mirrors.followers["servers"]
+            await wait_until(lambda: follower.failing_for_s() >= MIN_OUTAGE_S)
             fleet.store.kinds["servers"].clear()
             fleet.store.revision += 1
             fleet.store.watches_dropped = False
             fleet.store.rejects = lambda request: False
-            await wait_until(lambda: front.mirrors.followers["servers"].is_following)
+            await wait_until(lambda: follower.is_following)
             remaining_s = (
                 min(end for _, end in front.mirrors.missing_upstreams.values()) - front.clock()
             )
