--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -13,6 +13,7 @@
     EVENT_INTERVAL_TTL_S,
     EVENT_INTERVAL_WEIGHT,
     LOAD_REPORT_TTL_S,
+    OVERLOAD_BACKOFF_MAX_S,
     OVERLOAD_BACKOFF_S,
 )
 
@@ -32,6 +33,7 @@
     ejected_until: float = 0.0
     consecutive_failures: int = 0
     overloaded_until: float = 0.0
+    consecutive_rejections: int = 0
     deregistered: bool = False
     event_interval_s: float = 0.0
     event_interval_updated_at: float = 0.0
@@ -93,8 +95,15 @@
         self.ejected_until = now + ejection_s
 
     def record_overload(self, now: float) -> None:
-        """Prefer other upstreams for OVERLOAD_BACKOFF_S."""
-        self.overloaded_until = now + OVERLOAD_BACKOFF_S
+        """Prefer other upstreams for a time that doubles with each rejection that follows soon.
+
+        An engine that loads weights rejects requests for a while, though its slots are free.
+        """
+        if now - self.overloaded_until > OVERLOAD_BACKOFF_MAX_S:
+            self.consecutive_rejections = 0
+        backoff_s = OVERLOAD_BACKOFF_S * 2**self.consecutive_rejections
+        self.overloaded_until = now + min(OVERLOAD_BACKOFF_MAX_S, backoff_s)
+        self.consecutive_rejections += 1
 
 
 class UpstreamTable:
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -8,6 +8,7 @@
 EJECTION_MAX_S = 6.0
 OVERLOAD_BACKOFF_S = 0.2
 """How long an upstream that rejected a request as full is used only if all others are full."""
+OVERLOAD_BACKOFF_MAX_S = 0.8
 LOAD_REPORT_TTL_S = 1.0
 """How long a load report of an upstream is used; the load changes within a second."""
 EVENT_INTERVAL_WEIGHT = 0.2
--- /dev/null
+++ b/tests/fleet/test_upstreams.py
@@ -0,0 +1,46 @@
+"""Test which upstreams get requests after rejections."""
+
+import random
+import unittest
+
+from acaciarill.fleet import Upstream, UpstreamTable
+from acaciarill.fleet.const import OVERLOAD_BACKOFF_MAX_S, OVERLOAD_BACKOFF_S
+
+
+class RejectionsTest(unittest.TestCase):
+    """Prefer other upstreams for longer after each rejection."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.table = UpstreamTable("dc", lambda: self.now, random.Random(1))
+        self.table.update([Upstream(name, name, "llm", "10.0.0.1:1", "dc", 8) for name in "ab"])
+        self.table.states["b"].in_flight = 4
+
+    def chosen(self) -> str:
+        state = self.table.choose("llm")
+        assert state is not None
+        return state.upstream.id
+
+    def test_idle_engine_that_loads_weights_is_asked_rarely(self) -> None:
+        # It rejects requests for a second though its slots are free, so it looks least loaded.
+        rejections = 0
+        for _ in range(50):
+            if self.chosen() == "a":
+                rejections += 1
+                self.table.states["a"].record_overload(self.now)
+            self.now += 0.02
+        self.assertLessEqual(rejections, 3)
+
+    def test_single_rejection_counts_for_a_short_time(self) -> None:
+        self.table.states["a"].record_overload(self.now)
+        self.assertEqual(self.chosen(), "b")
+        self.now += OVERLOAD_BACKOFF_S + 0.01
+        self.assertEqual(self.chosen(), "a")
+
+    def test_rejections_far_apart_do_not_add_up(self) -> None:
+        for _ in range(5):
+            self.table.states["a"].record_overload(self.now)
+            self.now += OVERLOAD_BACKOFF_S + OVERLOAD_BACKOFF_MAX_S + 0.01
+        self.table.states["a"].record_overload(self.now)
+        self.now += OVERLOAD_BACKOFF_S + 0.01
+        self.assertEqual(self.chosen(), "a")
