Cut responses, heads and events without an end at a limit

Change: limits of one body (4 MB), of the sum of all bodies of a pool (32 MB, beyond it 64 KB each), of interim heads (8) and of an event (256 KB); each is an UpstreamError that names the limit, so that it counts against the upstream and is retried where that is safe.

--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -1,6 +1,6 @@
 """Provide an HTTP/1.1 server and client that control each connection themselves."""
 
-from ._client import Exchange, HttpPool, HttpResponse, ResponseHead
+from ._client import Exchange, HttpPool, HttpResponse, ResponseHead, check_event_size
 from ._server import EdgeLimits, EdgeServer, Request, Responder
 
 __all__ = [
@@ -12,4 +12,5 @@
     "HttpResponse",
     "Request",
     "Responder",
+    "check_event_size",
 ]
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -16,9 +16,14 @@
     CONNECT_TIMEOUT_S,
     DEFAULT_IDLE_REUSE_S,
     IDLE_REUSE_MARGIN_S,
+    MAX_BUFFERED_BYTES,
+    MAX_EVENT_BYTES,
     MAX_INLINE_REQUEST_BYTES,
+    MAX_INTERIM_HEADS,
+    MAX_RESPONSE_BYTES,
     READ_CHUNK_BYTES,
     TCP_USER_TIMEOUT_MS,
+    UNRESTRICTED_RESPONSE_BYTES,
 )
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -72,14 +77,26 @@
         return not poller.poll(0)
 
 
+@dataclass(slots=True)
+class ResponseBuffers:
+    """Count the bytes of the response bodies that are being read."""
+
+    total_bytes: int = 0
+
+    def is_full(self) -> bool:
+        """Return whether only short responses may grow further."""
+        return self.total_bytes > MAX_BUFFERED_BYTES
+
+
 class Exchange:
     """Run one request on one connection of a pool.
 
     An error's outcome is NOT_RUN only if no byte of the request can have been sent.
     """
 
-    def __init__(self, connection: _Connection) -> None:
+    def __init__(self, connection: _Connection, buffers: ResponseBuffers) -> None:
         self.connection = connection
+        self.buffers = buffers
         self.send_started = False
         self.head: ResponseHead | None = None
         self.response_complete = False
@@ -121,7 +138,7 @@
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response, after any informational ones; raise UpstreamError."""
-        while True:
+        for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.head = ResponseHead(event.status_code, list(event.headers))
@@ -129,6 +146,9 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             raise self._build_error("connection was closed before the response head", Step.RECEIVE)
+        raise self._build_error(
+            f"response has over {MAX_INTERIM_HEADS} informational heads", Step.RECEIVE
+        )
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks as they arrive; raise UpstreamError if it is incomplete."""
@@ -145,8 +165,24 @@
                 )
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raise UpstreamError if it is incomplete."""
-        return b"".join([chunk async for chunk in self.chunks()])
+        """Return the complete body; raise UpstreamError if it is incomplete or too long."""
+        body = bytearray()
+        try:
+            async for chunk in self.chunks():
+                body += chunk
+                self.buffers.total_bytes += len(chunk)
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise self._build_error(
+                        f"response body is longer than {MAX_RESPONSE_BYTES} bytes", Step.RECEIVE
+                    )
+                if len(body) > UNRESTRICTED_RESPONSE_BYTES and self.buffers.is_full():
+                    raise self._build_error(
+                        f"all response bodies are longer than {MAX_BUFFERED_BYTES} bytes",
+                        Step.RECEIVE,
+                    )
+        finally:
+            self.buffers.total_bytes -= len(body)
+        return bytes(body)
 
 
 class HttpPool:
@@ -159,6 +195,7 @@
         self.clock = clock
         self.idle_connections: dict[tuple[str, str], list[_Connection]] = {}
         self.opened_count = 0
+        self.buffers = ResponseBuffers()
 
     @asynccontextmanager
     async def exchange(
@@ -182,7 +219,7 @@
         connection = None if new_connection else self._take_idle_connection(key)
         if connection is None:
             connection = await self._connect(address)
-        exchange = Exchange(connection)
+        exchange = Exchange(connection, self.buffers)
         returned_to_pool = False
         try:
             data = self._encode(connection, method, target, headers, body)
@@ -300,6 +337,16 @@
         return True
 
 
+def check_event_size(partial_event: bytes) -> None:
+    """Raise UpstreamError if the incomplete event at the end of a stream is too long."""
+    if len(partial_event) > MAX_EVENT_BYTES:
+        raise UpstreamError(
+            f"event is longer than {MAX_EVENT_BYTES} bytes",
+            step=Step.RECEIVE,
+            outcome=Outcome.UNKNOWN,
+        )
+
+
 async def _send_ignoring_lost_connection(
     exchange: Exchange, data: bytes, before_send: BeforeSend | None
 ) -> None:
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -11,6 +11,17 @@
 MAX_INLINE_REQUEST_BYTES = 32 * 1024
 """Larger requests are sent while the response is read: a peer may respond before reading all."""
 
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+"""Limit of a buffered response; the largest valid ones are listings of the store, of about 1 MB."""
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+"""Limit of the sum of all response bodies that a pool buffers. Beyond it, a response may only grow
+to UNRESTRICTED_RESPONSE_BYTES."""
+UNRESTRICTED_RESPONSE_BYTES = 64 * 1024
+MAX_INTERIM_HEADS = 8
+"""Limit of informational heads before the response's own."""
+MAX_EVENT_BYTES = 256 * 1024
+"""Limit of the bytes of a stream that are buffered until the end of an event."""
+
 IDLE_REUSE_MARGIN_S = 1.0
 """Margin before the idle timeout that a peer announces, in which its connection is not reused."""
 
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -5,7 +5,7 @@
 import anyio
 from eliot import log_message
 
-from ..edge import ResponseHead
+from ..edge import ResponseHead, check_event_size
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import Attempt
 from ._forward import ForwardedRequest, Forwarder
@@ -121,6 +121,7 @@
                 partial = b""
                 async for chunk in response.exchange.chunks():
                     *complete, partial = (partial + chunk).split(EVENT_END)
+                    check_event_size(partial)
                     for event in complete:
                         progress.record_event_id(self.parse_event_id(event))
                         await send(event + EVENT_END)
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -9,8 +9,8 @@
 
 from ..batches import Item, ResultPage, ScoreRequest, StreamEvent, Submission
 from ..batches.const import STATE_FAILED
-from ..edge import EdgeLimits
-from ..errors import BadRequestError, Step
+from ..edge import EdgeLimits, check_event_size
+from ..errors import BadRequestError, Step, UpstreamError
 from ..fleet import (
     Configuration,
     Engine,
@@ -256,15 +256,22 @@
 
 
 class EventReader:
-    """Split the bytes of a stream into events and buffer an incomplete event."""
+    """Split the bytes of a stream into events and buffer an incomplete event of limited size."""
 
     def __init__(self) -> None:
         self.partial_event = b""
 
     def __call__(self, chunk: bytes) -> Iterable[StreamEvent]:
-        """Return the events that this chunk completes, except those without an id."""
+        """Return the events that this chunk completes, except those without an id.
+
+        Raise UpstreamError for a malformed or too long event.
+        """
         *complete, self.partial_event = (self.partial_event + chunk).split(b"\n\n")
-        return [event for block in complete if (event := _parse_event(block)) is not None]
+        check_event_size(self.partial_event)
+        try:
+            return [event for block in complete if (event := _parse_event(block)) is not None]
+        except ValueError as error:
+            raise UpstreamError("event is malformed", step=Step.RECEIVE) from error
 
 
 def _parse_event(block: bytes) -> StreamEvent | None:
--- a/tests/fakes/ports.py
+++ b/tests/fakes/ports.py
@@ -1,5 +1,6 @@
 """Find free ports for servers that run inside a test."""
 
+import atexit
 import itertools
 import os
 import socket
@@ -15,6 +16,12 @@
 """A UDP socket on each recently returned port keeps other test processes from taking it."""
 
 
+@atexit.register
+def _release_reservations() -> None:
+    for reservation in _reservations:
+        reservation.close()
+
+
 def free_port() -> int:
     """Return a free port of the loopback address, a different one on each call."""
     for _ in range(_COUNT):
