Learn how many weight loads engines bear at once

Cause: at most two loads of a service ran at once, the number of the ordinary sites. On the grown form 44 engines serve four trainers that publish a version every 4 s each: from 8 s on exactly two loads were ordered each second, engines fell two versions behind, and items waited 2 to 6 s for an engine that their step may use. Change: the limit doubles with each wave of loads until one takes 1.3 times the fastest, then falls to three quarters, and is raised by one after 10 s without slow ones. Only what the holder observes counts.

--- a/acaciarill/control/__init__.py
+++ b/acaciarill/control/__init__.py
@@ -1,5 +1,6 @@
 """Run the singleton duties: usage reports, scaling, weight loads and host retirements."""
 
+from ._load_limit import LoadLimit
 from ._retire import RetireDuty
 from ._scale import FleetDemand, FleetPlan, ScaleDuty, plan_fleet
 from ._usage import StartedRequestCounter, UsageDuty
@@ -18,6 +19,7 @@
 __all__ = [
     "FleetDemand",
     "FleetPlan",
+    "LoadLimit",
     "OrderBackoff",
     "OrderOutcome",
     "OrderWeightLoad",
--- a/acaciarill/control/_weights.py
+++ b/acaciarill/control/_weights.py
@@ -19,9 +19,8 @@
 from ..fleet import UpstreamState, UpstreamTable
 from ..fleet.const import ORDER_RETRY_DELAY_S
 from ..leases import Lease
+from ._load_limit import MIN_CONCURRENT_LOADS, LoadLimit
 
-MAX_CONCURRENT_LOADS = 2
-"""Loads of one service that may run at the same time; more make each load longer."""
 USABLE_LAG_VERSIONS = 1
 """The users' training steps accept tokens of their own version and of the one before."""
 IDLE_LOAD_DELAY_S = 0.6
@@ -32,7 +31,7 @@
 one version behind still serves. At this share, a new version makes at most two of six engines
 unusable."""
 LOAD_DURATION_S = 0.95
-"""Duration of a load while at most MAX_CONCURRENT_LOADS run, the limit of the users' site."""
+"""Time after which a load is expected to be finished and the engine is asked for its version."""
 ORDER_BACKOFF_S = 0.4
 """An engine that did not accept an order gets the next one after this time, which doubles with each
 further order. The engines that accept orders are loaded meanwhile."""
@@ -154,7 +153,7 @@
     idle_delay_starts: dict[str, float],
     pending_loads: dict[str, PendingWeightLoad],
     now: float,
-    max_concurrent: int = MAX_CONCURRENT_LOADS,
+    max_concurrent: int = MIN_CONCURRENT_LOADS,
     backoffs: Mapping[str, OrderBackoff] = MappingProxyType({}),
 ) -> list[WeightLoad]:
     """Return the loads to order now, at most `max_concurrent` including those already running.
@@ -253,6 +252,8 @@
         self.seen_versions: dict[str, int] = {}
         self.idle_delay_starts: dict[str, float] = {}
         self.backoffs: dict[str, OrderBackoff] = {}
+        self.load_limits: dict[str, LoadLimit] = {}
+        self.running_loads: Counter[str] = Counter()
 
     async def run_once(self, lease: Lease) -> None:
         """Choose the loads of each service and send their orders concurrently."""
@@ -264,7 +265,7 @@
             if self.seen_versions.get(model) != version:
                 self.seen_versions[model], self.idle_delay_starts[model] = version, now
         async with anyio.create_task_group() as orders:
-            for states in list(self.table.by_service.values()):
+            for service, states in list(self.table.by_service.items()):
                 engines = [state for state in states if state.upstream.versions]
                 assignments = assign_models(engines, published_versions, self.assignments)
                 self.assignments.update(assignments)
@@ -275,7 +276,8 @@
                     self.idle_delay_starts,
                     self.pending_loads,
                     now,
-                    backoffs=self.backoffs,
+                    self.load_limits.setdefault(service, LoadLimit()).value,
+                    self.backoffs,
                 ):
                     expires_at = now + ORDER_RETRY_DELAY_S
                     self.pending_loads[load.state.upstream.id] = PendingWeightLoad(
@@ -319,14 +321,51 @@
             epoch=lease.epoch,
         )
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.ALREADY_LOADED):
-            self.task_group.start_soon(self._announce_when_loaded, load)
+            is_new = outcome is OrderOutcome.ACCEPTED
+            self.task_group.start_soon(self._announce_when_loaded, load, is_new)
 
     def _back_off(self, upstream_id: str) -> None:
         self.pending_loads.pop(upstream_id, None)
         self.backoffs.setdefault(upstream_id, OrderBackoff()).extend(self.clock())
 
-    async def _announce_when_loaded(self, load: WeightLoad) -> None:
-        """Announce a finished load; the engine's entry in the store shows it a second later."""
+    async def _announce_when_loaded(self, load: WeightLoad, is_new: bool) -> None:
+        """Announce a finished load; the engine's entry in the store shows it a second later.
+
+        Only a load that this order started tells how long loads take.
+        """
+        upstream = load.state.upstream
+        started_at = self.clock()
+        self.running_loads[upstream.service] += 1
+        concurrent_loads = self.running_loads[upstream.service]
+        version = await self._wait_until_loaded(load)
+        concurrent_loads = max(concurrent_loads, self.running_loads[upstream.service])
+        self.running_loads[upstream.service] -= 1
+        if version is None:
+            return
+        if is_new:
+            self._record_load(upstream.service, concurrent_loads, self.clock() - started_at)
+        await self.announce_version(upstream.id, upstream.lifetime, load.model, version)
+
+    def _record_load(self, service: str, concurrent_loads: int, duration_s: float) -> None:
+        load_limit = self.load_limits[service]
+        previous_limit = load_limit.value
+        load_limit.record_load(concurrent_loads, duration_s, self.clock())
+        if load_limit.value != previous_limit:
+            log_message(
+                message_type="weights:limit_changed",
+                service=service,
+                limit=load_limit.value,
+                previous_limit=previous_limit,
+                concurrent=concurrent_loads,
+                duration_s=round(duration_s, 2),
+                fastest_s=round(load_limit.fastest_load_s, 2),
+            )
+
+    async def _wait_until_loaded(self, load: WeightLoad) -> int | None:
+        """Return the version that the engine has loaded, or None if it is not the ordered one.
+
+        The engine is asked for at most LOAD_POLL_TIMEOUT_S.
+        """
         upstream = load.state.upstream
         await anyio.sleep(LOAD_DURATION_S)
         deadline = self.clock() + LOAD_POLL_TIMEOUT_S
@@ -337,9 +376,9 @@
                 log_message(
                     message_type="weights:read_failed", upstream=upstream.id, reason=error.message
                 )
-                return
+                return None
             if version is not None and version >= load.version:
                 self.table.observe_version(upstream.id, upstream.lifetime, load.model, version)
-                await self.announce_version(upstream.id, upstream.lifetime, load.model, version)
-                return
+                return version
             await anyio.sleep(LOAD_POLL_S)
+        return None
