Show that stalled streams end although bytes trickle

Since progress is recorded by accepted event, a stream that sends a byte now and then ends at the stall timeout.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -176,6 +176,7 @@
         self.generations: list[tuple[str, int]] = []
         self.event_count = 6
         self.event_interval_s = EVENT_INTERVAL_S
+        self.trickles = False
 
     def register(self, state: str = "ready") -> None:
         """Write the replica's entry to the store, as a real replica does."""
@@ -243,6 +244,9 @@
         ]
         await responder.start(200, headers)
         item_id = request.get(b"x-acaciarill-attempt-id")
+        while self.trickles:  # bytes now and then that complete no event
+            await responder.send(b"d")
+            await anyio.sleep(0.1)
         for event_id in range(int(after) + 1 if after else 0, self.event_count):
             await anyio.sleep(self.event_interval_s)
             await responder.send(f"id: {event_id}\ndata: {item_id}-{event_id}\n\n".encode())
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -235,6 +235,17 @@
             self.assertNotIn("batch-1", fleet.store.kinds.get("batches", {}))
             self.assertEqual(fleet.engines[0].generations + fleet.engines[1].generations, [])
 
+    async def test_stalled_streams_that_send_a_byte_now_and_then_are_ended(self) -> None:
+        async with self.run_fleet() as fleet:
+            for engine in fleet.engines:
+                engine.trickles = True
+            await fleet.call("f1", "POST", "/b/x", submission(4), id="batch-1")
+            await wait_until(lambda: sum(len(engine.requests) for engine in fleet.engines) > 4)
+            for engine in fleet.engines:
+                engine.trickles = False
+            results = await fleet.read_results("f1", "batch-1", 4)
+            self.assertEqual({result["state"] for result in results}, {"completed"})
+
     async def test_new_owner_finishes_batch_without_moving_results(self) -> None:
         async with self.run_fleet() as fleet:
             for engine in fleet.engines:
