Say not run for attempts that reached no upstream, and do not eject full ones

Causes: an attempt that timed out before its first byte was sent counted as one that may have run, so the client got 504 instead of 503 with Retry-After; a rejection as full also ejected the upstream for 1.5 s and more and closed its idle connections; a 5xx of a repeatable request counted twice as usage. Change: the outcome follows from whether a byte was sent; a rejection only makes others preferred; usage is counted once for each attempt that was sent and not rejected, also if its client has left. Three tests, each fails without the change.

--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -15,7 +15,8 @@
 class Attempt:
     """Hold the parameters of one attempt; `remaining_s` is the time until the request's deadline.
 
-    `resume_after` is the id of the last event of a stream that was received before.
+    `resume_after` is the id of the last event of a stream that was received before. `sent` is set
+    right before the first byte is sent.
     """
 
     upstream: Upstream
@@ -24,6 +25,11 @@
     priority: int | None = None
     resume_after: int | None = None
     expected_version: int | None = None
+    sent: bool = False
+
+    def mark_sent(self) -> None:
+        """Record that bytes of the request may have reached the upstream."""
+        self.sent = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,6 +75,7 @@
             self.codec.encode(headers, attempt),
             body,
             lifetime=state.upstream.lifetime,
+            before_send=attempt.mark_sent,
         ) as exchange:
             head = await exchange.read_head()
             metadata = self.codec.decode(head)
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -22,6 +22,8 @@
 )
 
 STATUS_SERVER_ERROR = 500
+UPSTREAM_FULL = "upstream-full"
+"""Code of the error for a request that an upstream rejected without running it."""
 
 
 @dataclass(slots=True)
@@ -97,37 +99,36 @@
     async def _attempt(
         self, request: ForwardedRequest, state: UpstreamState, remaining_s: float
     ) -> HttpResponse:
-        sent_at = self.clock()
-        timeout_s = self._attempt_timeout_s(request, remaining_s)
+        started_at = self.clock()
         attempt = Attempt(state.upstream, remaining_s, request.customer)
+        rejected = False
         state.in_flight += 1
         try:
-            with anyio.move_on_after(timeout_s):
+            with anyio.move_on_after(self._attempt_timeout_s(request, remaining_s)):
                 async with self.sender.open(
                     state, attempt, request.method, request.target, request.headers, request.body
                 ) as response:
                     http_response = HttpResponse(response.head, await response.exchange.read_body())
-                    return self._check_response(
-                        request, state, http_response, response.metadata, sent_at
-                    )
+                    return self._check_response(request, state, http_response, response.metadata)
+            raise UpstreamError(
+                "upstream did not respond within the attempt timeout",
+                step=Step.RECEIVE if attempt.sent else Step.CONNECT,
+                peer=state.upstream.id,
+                outcome=Outcome.UNKNOWN if attempt.sent else Outcome.NOT_RUN,
+            )
         except UpstreamError as error:
-            if error.outcome is not Outcome.NOT_RUN and request.metered:
-                self.on_run(request.customer, sent_at)
-            state.record_failure(self.clock())
-            self.sender.pool.close_idle_connections(state.upstream.address)
+            rejected = error.code == UPSTREAM_FULL
+            if rejected:
+                state.record_overload(self.clock())
+            else:
+                state.record_failure(self.clock())
+                self.sender.pool.close_idle_connections(state.upstream.address)
             raise
         finally:
+            if request.metered and attempt.sent and not rejected:
+                self.on_run(request.customer, started_at)
             state.in_flight -= 1
             self.table.notify_listeners()
-        if request.metered:
-            self.on_run(request.customer, sent_at)
-        state.record_failure(self.clock())
-        self.sender.pool.close_idle_connections(state.upstream.address)
-        raise UpstreamError(
-            "upstream did not respond within the attempt timeout",
-            step=Step.RECEIVE,
-            peer=state.upstream.id,
-        )
 
     def _attempt_timeout_s(self, request: ForwardedRequest, remaining_s: float) -> float:
         """Return the timeout of one attempt in seconds, which leaves time for an allowed retry."""
@@ -147,17 +148,15 @@
         state: UpstreamState,
         http_response: HttpResponse,
         metadata: ResponseMetadata,
-        sent_at: float,
     ) -> HttpResponse:
         """Return a response that may be forwarded to the client; otherwise raise UpstreamError."""
         if metadata.not_run:
-            state.record_overload(self.clock())
             raise UpstreamError(
                 f"upstream rejected the request with status {http_response.head.status}",
                 step=Step.ADMIT,
                 peer=state.upstream.id,
                 outcome=Outcome.NOT_RUN,
-                code="upstream-full",
+                code=UPSTREAM_FULL,
             )
         if metadata.request_id != request.id:
             raise UpstreamError(
@@ -165,8 +164,6 @@
                 step=Step.RECEIVE,
                 peer=state.upstream.id,
             )
-        if request.metered:
-            self.on_run(request.customer, sent_at)
         # a 504 means only that the deadline passed
         if http_response.head.status == STATUS_SERVER_ERROR:
             request.server_error_count += 1
--- a/tests/fleet/test_forward.py
+++ b/tests/fleet/test_forward.py
@@ -47,11 +47,18 @@
 OK = respond_with(200)
 
 
+class UnconnectedPool(HttpPool):
+    """Wait for connections that are never established."""
+
+    async def _connect(self, address: str):  # type: ignore[no-untyped-def]
+        await anyio.sleep_forever()
+
+
 class ForwardTest(unittest.IsolatedAsyncioTestCase):
     """Forward a request to upstreams that fail in different ways."""
 
     async def forward(
-        self, route: Route, *scripts: ResponseScript
+        self, route: Route, *scripts: ResponseScript, pool: HttpPool | None = None
     ) -> tuple[HttpResponse | AcaciarillError, ForwardedRequest, int]:
         """Return the outcome, the request, and how many attempts reached upstreams."""
         upstreams = [FakeUpstream(script) for script in scripts]
@@ -68,9 +75,13 @@
             )
             for i, name in enumerate(sorted(table.states)):
                 table.states[name].in_flight = i  # makes the order of choice deterministic
-            pool = HttpPool(anyio.current_time)
+            self.table = table
             forwarder = Forwarder(
-                AttemptSender(pool, UpstreamCodec(encode, decode), anyio.current_time),
+                AttemptSender(
+                    pool or HttpPool(anyio.current_time),
+                    UpstreamCodec(encode, decode),
+                    anyio.current_time,
+                ),
                 table,
                 anyio.current_time,
                 random.Random(1),
@@ -144,3 +155,22 @@
             OK,
         )
         self.assertEqual((len(request.attempted_upstreams), attempt_count), (2, 2))
+
+    async def test_each_attempt_counts_as_usage_once(self) -> None:
+        await self.forward(IDEMPOTENT_ROUTE, respond_with(500), OK)
+        self.assertEqual(self.runs, ["customer", "customer"])
+
+    async def test_full_upstream_is_not_ejected(self) -> None:
+        # A burst that fills all upstreams would otherwise eject them all.
+        await self.forward(IDEMPOTENT_ROUTE, FULL, FULL, FULL)
+        self.assertEqual([state.ejected_until for state in self.table.states.values()], [0.0] * 3)
+
+    async def test_attempts_that_reach_no_upstream_have_not_run(self) -> None:
+        outcome, _, attempt_count = await self.forward(
+            IDEMPOTENT_ROUTE, OK, OK, OK, pool=UnconnectedPool(anyio.current_time)
+        )
+        self.assertEqual(
+            (outcome.outcome, outcome.status, attempt_count), (Outcome.NOT_RUN, 503, 0)
+        )
+        self.assertGreater(outcome.retry_after_s, 0.0)
+        self.assertEqual(self.runs, [])
