--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -7,16 +7,17 @@
 """Ejection after the first failure; it outlasts the connection resets of most restarts."""
 EJECTION_MAX_S = 6.0
 OVERLOAD_BACKOFF_S = 0.2
-"""How long an upstream that rejected a request as full is used only if all others are full."""
+"""How long an upstream that rejected a request is used only if all others are full; the time
+doubles with each rejection that follows soon."""
 OVERLOAD_BACKOFF_MAX_S = 0.8
 LOAD_REPORT_TTL_S = 1.0
 """How long a load report of an upstream is used; the load changes within a second."""
 EVENT_INTERVAL_WEIGHT = 0.2
-"""Weight of the newest interval in the moving average, which converges within some ten events."""
+"""Weight of the newest sample in the moving average of an engine's event interval."""
 EVENT_INTERVAL_TTL_S = 4.0
-"""How long an average is used before a slow engine is tried again; slow spells last 5 to 8 s."""
+"""How long an average is used after its last sample; a slow engine is then tried again."""
 EVENT_INTERVAL_MAX_S = 0.4
-"""Longer intervals are weight loads or lost events and do not count as generation speed."""
+"""A single longer interval is a weight load or a lost event and does not count."""
 SLOW_ENGINE_FACTOR = 1.7
 """An engine is slow if its event interval is longer than that of the fastest by this factor."""
 RETRY_DELAY_MAX_S = 0.03
