Close a connection on which a daemon responds with an invalid frame

Cause: the reader of a connection caught PeerError, which receiving never raises, and not BadRequestError, so an oversized or malformed frame of a called daemon ended the caller's task group. The test fails without it.

--- a/acaciarill/peers/_links.py
+++ b/acaciarill/peers/_links.py
@@ -7,9 +7,10 @@
 import anyio
 import anyio.abc
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from eliot import log_message
 
 from ..addresses import split_address
-from ..errors import Outcome, PeerError, Step
+from ..errors import BadRequestError, Outcome, PeerError, Step
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
 from .const import CALL_TIMEOUT_S, CONNECT_TIMEOUT_S, MAX_CALL_ID, STREAM_BUFFER_FRAMES
@@ -53,8 +54,10 @@
                     await sender.send(frame)
                 except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                     self.pending_calls.pop(frame.call_id, None)
-        except (*CONNECTION_ERRORS, PeerError):
+        except CONNECTION_ERRORS:
             pass
+        except BadRequestError as error:
+            log_message(message_type="peer:frame_invalid", reason=error.message, action="close")
         finally:
             await self.close()
 
