Treat a queue time of 0 as no limit everywhere

Cause: a route without a queue time counted as no demand for upstreams, and engines got 0.5 s for its items, while the runner read 0 as no limit. Two tests, of which each fails without the change (no demand; 0.5 s).

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -28,6 +28,7 @@
     FAILED_RETRY_DELAY_S,
     FULL_RETRY_DELAY_S,
     MAX_APPEND_DELAY_S,
+    MIN_ATTEMPT_S,
     REQUEST_ID_PLACEHOLDER,
     ROUTE_POLL_PERIOD_S,
     SCORE_RETRY_DELAY_S,
@@ -37,6 +38,7 @@
     STOP_IDLE,
     STOP_SLOW,
     TAKEOVER_DELAY_S,
+    UNLIMITED_ATTEMPT_S,
 )
 
 STATUS_OK = 200
@@ -154,6 +156,13 @@
             return False
         return self.ports.wall_clock() > self.head.submitted_at + route.max_queue_s
 
+    def _remaining_s(self, route: Route) -> float:
+        """Return how long an engine may work on an item, which without a limit is a long time."""
+        if not route.max_queue_s:
+            return UNLIMITED_ATTEMPT_S
+        expires_at = self.head.submitted_at + route.max_queue_s
+        return max(MIN_ATTEMPT_S, expires_at - self.ports.wall_clock())
+
     async def _append_results(self) -> None:
         """Append finished results; those that finish close together share a segment."""
         while self.unfinished_count:
@@ -275,7 +284,7 @@
         ports = self.ports
         attempt = Attempt(
             state.upstream,
-            max(0.5, self.head.submitted_at + route.max_queue_s - ports.wall_clock()),
+            self._remaining_s(route),
             self.head.customer,
             resume_after=text.last_event_id,
         )
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -56,6 +56,10 @@
 MIN_SAVED_EVENTS = 8
 """A stream is moved if it is expected to end earlier by the time of this many events, which is more
 than processing the prompt and the text again takes."""
+MIN_ATTEMPT_S = 0.5
+"""An engine gets at least this time for an item, also shortly before the item is given up."""
+UNLIMITED_ATTEMPT_S = 600.0
+"""Time that an engine gets for an item of a route without a queue time."""
 FULL_RETRY_DELAY_S = 0.1
 FAILED_RETRY_DELAY_S = 0.2
 SCORE_TIMEOUT_S = 3.0
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -185,8 +185,10 @@
                 if self.configuration
                 else None
             )
+            if route is None or head["ended"]:
+                continue
             age_s = self.wall_clock() - head["submitted_at"]
-            if route is None or head["ended"] or age_s > route.max_queue_s:
+            if route.max_queue_s and age_s > route.max_queue_s:
                 continue
             if any(name == service for name, _ in route.service_weights):
                 requests += head["total"]
--- a/tests/batches/test_runner.py
+++ b/tests/batches/test_runner.py
@@ -3,6 +3,7 @@
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -16,7 +17,7 @@
     Submission,
 )
 from acaciarill.batches._texts import GeneratedText, TextCache
-from acaciarill.batches.const import STATE_COMPLETED, STATE_FAILED
+from acaciarill.batches.const import STATE_COMPLETED, STATE_FAILED, UNLIMITED_ATTEMPT_S
 from acaciarill.edge import EdgeLimits
 from acaciarill.fleet import Configuration, Route, RouteKind, Upstream, UpstreamState
 from acaciarill.fleet._model import group_routes_by_host
@@ -101,3 +102,8 @@
     async def test_runner_fails_items_of_removed_route(self) -> None:
         states = await self.stored_states(self.runner(3), [configuration(4)])
         self.assertEqual(states, [[STATE_FAILED]])
+
+    async def test_engine_gets_the_time_until_the_item_is_given_up(self) -> None:
+        runner = self.runner(1)
+        self.assertEqual(runner._remaining_s(ROUTE), 59.0)
+        self.assertEqual(runner._remaining_s(replace(ROUTE, max_queue_s=0.0)), UNLIMITED_ATTEMPT_S)
--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -5,7 +5,9 @@
 from types import SimpleNamespace
 from typing import Any
 
-from acaciarill.fleet import Members, Upstream, UpstreamTable
+from acaciarill.edge import EdgeLimits
+from acaciarill.fleet import Configuration, Members, Route, RouteKind, Upstream, UpstreamTable
+from acaciarill.fleet._model import group_routes_by_host
 from acaciarill.fleet_daemon import FleetKinds
 from acaciarill.fleet_daemon._mirrors import FleetMirrors
 from acaciarill.fleet_daemon.const import (
@@ -88,6 +90,15 @@
         self.remove_entry()
         self.assertAlmostEqual(self.remaining_use_s(), OUTAGE_ENTRY_GRACE_S)
 
+    def test_open_batch_of_a_route_without_queue_time_is_demand_at_any_age(self) -> None:
+        route = Route("r", "h", "/b", RouteKind.BATCH, (("llm", 1.0),), 10.0, 5.0, 2, 0)
+        self.mirrors.configuration = Configuration(
+            1, group_routes_by_host([route]), {}, EdgeLimits(), {}
+        )
+        head = {"host": "h", "path": "/b/x", "submitted_at": 0.0, "ended": False, "total": 12}
+        self.mirrors.mirror("batches").replace(1, [Record("b1", 1, head)])
+        self.assertEqual(self.mirrors.demand("llm").requests, 12)
+
     def test_sum_of_all_delays_is_within_the_limit(self) -> None:
         # A request was sent to an upstream 2,162 ms after its entry was removed.
         longest_s = (
