--- a/tests/units.py
+++ b/tests/units.py
@@ -6,6 +6,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+SLOW_TESTS = ("tests.models", "tests.proofs", "tests.test_")
+"""Prefixes of the tests that last longest and therefore begin first."""
+
 
 @dataclass(slots=True)
 class UnitResult:
@@ -34,8 +37,7 @@
     for test in flatten_suite(suite):
         has_class_fixture = "setUpClass" in type(test).__dict__
         units[test.id().rpartition(".")[0] if has_class_fixture else test.id()] = None
-    # Tests that start processes last longest; they begin first.
-    return sorted(units, key=lambda name: not name.startswith(("tests.proofs", "tests.test_")))
+    return sorted(units, key=lambda name: not name.startswith(SLOW_TESTS))
 
 
 class _CountingResult(unittest.TextTestResult):
