--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -27,6 +27,8 @@
 """Below the kernel's range for outgoing connections, which could take a port during a restart."""
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 45.0
+LOG_END_LINES = 25
+LOG_LINE_CHARACTERS = 300
 
 
 def reserve_ports(port_count: int = PORTS_PER_FLEET) -> tuple[int, socket.socket]:
@@ -318,6 +320,13 @@
             for line in path.read_bytes().splitlines():
                 yield orjson.loads(line) | {"file": path.stem}
 
+    def print_log_ends(self) -> None:
+        """Print the last log lines of every daemon, which tell what it waited for."""
+        for daemon in self.daemons:
+            print(f"last log lines of {daemon.name}:", file=sys.stderr)
+            for line in daemon.log.read_text(errors="replace").splitlines()[-LOG_END_LINES:]:
+                print("  " + line[:LOG_LINE_CHARACTERS], file=sys.stderr)
+
     def stop(self) -> list[int]:
         """Stop every process and return the daemons' exit codes."""
         for daemon in self.daemons:
@@ -342,13 +351,16 @@
     weakening: str = "",
     isolatable: bool = False,
 ) -> Iterator[Fleet]:
-    """Run a fleet until the end of the block."""
+    """Run a fleet until the end of the block; print the ends of its logs if the block fails."""
     with tempfile.TemporaryDirectory(prefix="acaciarill-test-") as folder:
         fleet = Fleet(
             config_text, data_centres, Path(folder), separate_upstreams, weakening, isolatable
         )
         try:
             yield fleet
+        except BaseException:
+            fleet.print_log_ends()
+            raise
         finally:
             fleet.stop()
 
