--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -134,6 +134,8 @@
         for kind, follower in self.followers.items():
             follower.pause()
             follower.set_following(kind not in failing_kinds, "the watcher lost the store")
+            if kind not in failing_kinds:
+                follower.confirmed_at = self.clock()
 
     def _apply(self, follower: MirrorFollower, update: Any) -> None:
         if update.lost_s_ago is not None:
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -116,12 +116,20 @@
         records = self.mirror(self.ports.kinds.upstreams).records
         registered = [u for record in records.values() if (u := self.ports.decode_upstream(record))]
         registered_ids = {upstream.id for upstream in registered}
+        follower = self.followers[self.ports.kinds.upstreams]
         now = self.clock()
         for state in self.table.states.values():
             upstream = state.upstream
             if upstream.id not in registered_ids and upstream.id not in self.missing_upstreams:
                 expires_at = now if upstream.draining else self._missing_entry_expires_at(now)
                 self.missing_upstreams[upstream.id] = (upstream, expires_at)
+                log_message(
+                    message_type="upstream:entry_missing",
+                    upstream=upstream.id,
+                    draining=upstream.draining,
+                    used_for_s=round(expires_at - now, 2),
+                    unconfirmed_s=round(follower.unconfirmed_for_s(), 2),
+                )
         for upstream_id in registered_ids & self.missing_upstreams.keys():
             del self.missing_upstreams[upstream_id]
         retained = [
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -166,6 +166,8 @@
 
     While it is paused it makes no calls to the store: the mirror then receives changes from a peer.
     `watch_delay_s` is the delay before the next watch, so that one call returns several changes.
+    `confirmed_at` is when the mirror was last known to be up to date, before the change that its
+    listeners are being told of.
     """
 
     def __init__(
@@ -186,6 +188,7 @@
         self.is_following = False
         self.outage_ended_at: float | None = None
         self.failing_since: float | None = None
+        self.confirmed_at: float | None = None
         self.needs_listing = True
         self.paused = False
         self._resumed = anyio.Event()
@@ -217,11 +220,14 @@
     async def _list_or_watch(self) -> None:
         mirror = self.mirror
         if self.needs_listing:
+            started_at = self.clock()
             position, records = await self.source.list_kind(mirror.kind)
             mirror.replace(position, records)
+            self.confirmed_at = started_at
             self.needs_listing = False
             return
         position, changes = await self.source.watch_kind(mirror.kind, mirror.position, self.wait_s)
+        self.confirmed_at = self.clock()  # an open watch returns changes as they happen
         mirror.apply(position, changes)
 
     def pause(self) -> None:
@@ -242,6 +248,10 @@
         """Return the time since listing or watching began to fail, in seconds."""
         return 0.0 if self.failing_since is None else self.clock() - self.failing_since
 
+    def unconfirmed_for_s(self) -> float:
+        """Return how long ago the mirror was last known to be up to date, in seconds."""
+        return 0.0 if self.confirmed_at is None else self.clock() - self.confirmed_at
+
     def last_outage_at(self) -> float | None:
         """Return the time of the end of the last outage, which is now during one, or None.
 
@@ -268,6 +278,7 @@
                 kind=self.mirror.kind,
                 position=self.mirror.position,
                 reason=reason,
+                unconfirmed_s=round(self.unconfirmed_for_s(), 2),
             )
         if following:
             self.outage_ended_at = self.last_outage_at()
