--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -8,6 +8,7 @@
 from acaciarill.edge import EdgeLimits
 from acaciarill.fleet import Configuration, Members, Route, RouteKind, Upstream, UpstreamTable
 from acaciarill.fleet._model import group_routes_by_host
+from acaciarill.fleet.const import WATCH_TIMEOUT_MARGIN_S
 from acaciarill.fleet_daemon import FleetKinds
 from acaciarill.fleet_daemon._mirrors import FleetMirrors
 from acaciarill.fleet_daemon.const import (
@@ -16,16 +17,29 @@
     MISSING_ENTRY_GRACE_S,
     OUTAGE_ENTRY_GRACE_S,
 )
-from acaciarill.mirrors import Change, Record
+from acaciarill.mirrors import Change, MirrorFollower, Record
+from acaciarill.mirrors.const import WATCH_RETRY_DELAY_S
 from acaciarill.timer import JITTER_SHARE
 
 DRAIN_LIMIT_S = 2.0
 """Users' limit on requests to an upstream after the store has reported its removal."""
+CONTACT_LIMIT_S = 3.0
+"""Users' limit on the time after a trouble in which a daemon may act on stale state."""
 RESPONSE_DELAY_S = 0.3
 """Time allowed for the responses of the store and of the watcher."""
 
 
-class MissingUpstreamTest(unittest.TestCase):
+class FakeSource:
+    """List no objects."""
+
+    async def list_kind(self, kind: str) -> tuple[int, list[Record]]:
+        return 9, []
+
+    async def watch_kind(self, kind: str, position: int, wait_s: float) -> tuple[int, list[Change]]:
+        return position, []
+
+
+class MissingUpstreamTest(unittest.IsolatedAsyncioTestCase):
     """Remove the entry of an upstream that was not draining."""
 
     def setUp(self) -> None:
@@ -38,9 +52,11 @@
         )
         members = Members("f1", "f1", "dc", "front", lambda: self.now)
         self.table = UpstreamTable("dc", lambda: self.now, random.Random(1))
-        source: Any = None
-        self.mirrors = FleetMirrors(
-            ports, source, members, self.table, "front", lambda: self.now, lambda: self.now
+        self.mirrors, self.keeper_mirrors = (
+            FleetMirrors(
+                ports, FakeSource(), members, self.table, role, lambda: self.now, lambda: self.now
+            )
+            for role in ("front", "keeper")
         )
         self.mirrors.mirror("servers").replace(1, [Record("e1", 1, {})])
 
@@ -90,6 +106,31 @@
         self.remove_entry()
         self.assertAlmostEqual(self.remaining_use_s(), OUTAGE_ENTRY_GRACE_S)
 
+    async def test_entry_missing_after_a_stalled_watch_is_not_used_for_another_grace_period(
+        self,
+    ) -> None:
+        # Requests were sent to an upstream 2,137 and 2,263 ms after it had left: the watch had
+        # stalled in an outage of one second, and the grace period began when it was given up.
+        follower = self.mirrors.followers["servers"]
+        follower.needs_listing = False
+        await follower._list_or_watch()
+        self.now += 5.5
+        follower.needs_listing = True
+        await follower._list_or_watch()
+        self.mirrors.expire_missing_upstreams()
+        self.assertNotIn("e1", self.table.states)
+
+    def test_stalled_watch_is_replaced_within_the_contact_limit(self) -> None:
+        # A daemon whose watch had stalled noticed only after 5.5 s that an upstream had left.
+        def longest_s(follower: MirrorFollower) -> float:
+            watch_s = follower.watch_delay_s + follower.wait_s + WATCH_TIMEOUT_MARGIN_S
+            return watch_s + WATCH_RETRY_DELAY_S + RESPONSE_DELAY_S
+
+        for mirrors in (self.mirrors, self.keeper_mirrors):
+            for kind in ("servers", "config"):
+                with self.subTest(kind=kind, role=mirrors.role):
+                    self.assertLess(longest_s(mirrors.followers[kind]), CONTACT_LIMIT_S)
+
     def test_open_batch_of_a_route_without_queue_time_is_demand_at_any_age(self) -> None:
         route = Route("r", "h", "/b", RouteKind.BATCH, (("llm", 1.0),), 10.0, 5.0, 2, 0)
         self.mirrors.configuration = Configuration(
