Stop using an upstream as soon as its missing entry is noticed, and replace stalled watches sooner

Callers saw requests sent to upstreams that had left over two seconds before (DRAIN). Cause: two waits added up that were each bounded alone. A watch that was open when the store stopped responding was given up after 5.5 s (4 s of long poll and 1.5 s of margin), 16.5 s at a daemon that follows the store itself; and a missing entry was kept for another second counted from when it was noticed. Now a stalled watch of the configuration or the upstreams is replaced within 3 s, also at daemons with callers, which list at once after a lost watch; and outside an outage a missing entry is not used at all. What the second bought was the use of upstreams that leave. Entries that expire in an outage are kept as before. The tests of the one-second grace are replaced by stricter ones: they now require that the upstream is not used.

--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -37,7 +37,7 @@
 """Calls take 4 ms, and 60 times as long while the store is slow."""
 STORE_BACKOFF_S = 2.0
 """How long calls go through peers after the store rejected or did not answer a direct call."""
-WATCH_TIMEOUT_MARGIN_S = 1.5
+WATCH_TIMEOUT_MARGIN_S = 1.0
 """Time added to the long-poll time of a watch before its call times out."""
 VIEW_FETCH_DELAY_S = 0.4
 """How long a daemon waits for changes that a peer already has before it fetches the peer's view;
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -9,17 +9,16 @@
 from ..fleet import ROLE_FRONT, Configuration, Member, Members, Upstream, UpstreamTable
 from ..mirrors import KindSource, Mirror, MirrorFollower
 from ..mirrors.const import (
-    WATCH_RETRY_DELAY_FRONT_S,
+    LISTING_RETRY_DELAY_FRONT_S,
     WATCH_RETRY_DELAY_S,
-    WATCH_WAIT_CONFIGURATION_S,
     WATCH_WAIT_KEEPER_S,
     WATCH_WAIT_S,
+    WATCH_WAIT_URGENT_S,
 )
 from ._ports import FleetPorts
 from .const import (
     CHANGE_BATCHING_S,
     KIND_MEMBERS,
-    MISSING_ENTRY_GRACE_S,
     OUTAGE_ENTRY_GRACE_S,
 )
 
@@ -63,7 +62,7 @@
                 clock,
                 self._watch_wait_s(kind),
                 self._watch_delay_s(kind),
-                WATCH_RETRY_DELAY_FRONT_S if role == ROLE_FRONT else WATCH_RETRY_DELAY_S,
+                LISTING_RETRY_DELAY_FRONT_S if role == ROLE_FRONT else WATCH_RETRY_DELAY_S,
             )
             for kind in mirrored_kinds
         }
@@ -82,12 +81,10 @@
         return lambda: self.configuration_listeners.remove(listener)
 
     def _watch_wait_s(self, kind: str) -> float:
-        """Return the long-poll time: shorter without clients, to detect a stalled watch sooner."""
-        if self.role == ROLE_FRONT:
-            return WATCH_WAIT_S
-        if kind == self.ports.kinds.configuration:
-            return WATCH_WAIT_CONFIGURATION_S
-        return WATCH_WAIT_KEEPER_S
+        """Return the long-poll time: shorter where a stalled watch must be detected sooner."""
+        if kind in (self.ports.kinds.configuration, self.ports.kinds.upstreams):
+            return WATCH_WAIT_URGENT_S
+        return WATCH_WAIT_S if self.role == ROLE_FRONT else WATCH_WAIT_KEEPER_S
 
     def _watch_delay_s(self, kind: str) -> float:
         """Return how long changes are collected before the next watch."""
@@ -141,13 +138,10 @@
         """Return until when an upstream is used whose entry has gone missing now.
 
         If the entry expired because of an outage it is back soon after the outage's end. Otherwise
-        the upstream is leaving, which is also possible shortly after an outage.
+        the upstream has left, and how long ago is unknown if the watch had stalled.
         """
         last_outage_at = self.followers[self.ports.kinds.upstreams].last_outage_at()
-        expires_at = now + MISSING_ENTRY_GRACE_S
-        if last_outage_at is not None:
-            expires_at = max(expires_at, last_outage_at + OUTAGE_ENTRY_GRACE_S)
-        return expires_at
+        return now if last_outage_at is None else max(now, last_outage_at + OUTAGE_ENTRY_GRACE_S)
 
     def expire_missing_upstreams(self) -> None:
         """Remove the upstreams whose entries are missing for longer than their grace period."""
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -15,9 +15,6 @@
 """How long changes are collected before the next watch. Every call to the store is priced, and
 upstreams that leave keep serving for two seconds."""
 
-MISSING_ENTRY_GRACE_S = 1.0
-"""How long an upstream is still used after its entry has gone missing; it keeps serving for two
-seconds."""
 OUTAGE_ENTRY_GRACE_S = 2.3
 """How long after a store outage an upstream is still used whose entry is missing. Entries that
 expired during the outage are registered again within two seconds."""
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -165,9 +165,9 @@
     """Keep a mirror up to date by listing and watching, and list again after a watch fails.
 
     While it is paused it makes no calls to the store: the mirror then receives changes from a peer.
-    `watch_delay_s` is the delay before the next watch, so that one call returns several changes.
-    `confirmed_at` is when the mirror was last known to be up to date, before the change that its
-    listeners are being told of.
+    `watch_delay_s` is the delay before the next watch, so that one call returns several changes;
+    `listing_retry_delay_s` is the delay after a failed listing. `confirmed_at` is when the mirror was
+    last known to be up to date, before the change that its listeners are being told of.
     """
 
     def __init__(
@@ -177,10 +177,10 @@
         clock: Callable[[], float],
         wait_s: float = WATCH_WAIT_S,
         watch_delay_s: float = 0.0,
-        retry_delay_s: float = WATCH_RETRY_DELAY_S,
+        listing_retry_delay_s: float = WATCH_RETRY_DELAY_S,
     ) -> None:
         self.watch_delay_s = watch_delay_s
-        self.retry_delay_s = retry_delay_s
+        self.listing_retry_delay_s = listing_retry_delay_s
         self.wait_s = wait_s
         self.mirror = mirror
         self.source = source
@@ -213,9 +213,12 @@
                     self.needs_listing = True
                 except StoreError as error:
                     # A watch reopened at once may wait on history that is being compacted.
+                    delay_s = (
+                        self.listing_retry_delay_s if self.needs_listing else WATCH_RETRY_DELAY_S
+                    )
                     self.needs_listing = True
                     self.set_following(False, str(error))
-                    await anyio.sleep(self.retry_delay_s)
+                    await anyio.sleep(delay_s)
 
     async def _list_or_watch(self) -> None:
         mirror = self.mirror
--- a/acaciarill/mirrors/const.py
+++ b/acaciarill/mirrors/const.py
@@ -5,12 +5,13 @@
 WATCH_WAIT_KEEPER_S = 4.0
 """Long-poll time of a daemon without clients, which must detect a stalled watch itself and inform
 its peers."""
-WATCH_WAIT_CONFIGURATION_S = 1.5
-"""Long-poll time of a daemon without clients for the configuration, which must be in force within
-two seconds even if a watch stalls."""
+WATCH_WAIT_URGENT_S = 1.1
+"""Long-poll time of any daemon for the configuration and the upstreams, whose changes must be known
+soon even if a watch has stalled."""
 WATCH_RETRY_DELAY_S = 0.25
-WATCH_RETRY_DELAY_FRONT_S = 1.0
-"""Retry delay of a daemon that serves clients, which calls the store only if no peer can."""
+LISTING_RETRY_DELAY_FRONT_S = 1.0
+"""Delay after a failed listing of a daemon that serves clients, which calls the store only if no
+peer can."""
 HISTORY_MAX_ENTRIES = 64
 """About 20 s of changes, collected for 0.3 s per entry; the store retains its history as long."""
 MIN_OUTAGE_S = 0.6
--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -14,7 +14,6 @@
 from acaciarill.fleet_daemon.const import (
     CHANGE_BATCHING_S,
     MISSING_ENTRY_CHECK_PERIOD_S,
-    MISSING_ENTRY_GRACE_S,
     OUTAGE_ENTRY_GRACE_S,
 )
 from acaciarill.mirrors import Change, MirrorFollower, Record
@@ -63,14 +62,8 @@
     def remove_entry(self) -> None:
         self.mirrors.mirror("servers").apply(2, [Change(Record("e1", 2, {}), deleted=True)])
 
-    def test_upstream_is_used_for_the_grace_period_only(self) -> None:
+    def test_upstream_is_not_used_once_its_entry_is_missing(self) -> None:
         self.remove_entry()
-        self.assertIn("e1", self.table.states)
-        self.now += MISSING_ENTRY_GRACE_S - 0.01
-        self.mirrors.expire_missing_upstreams()
-        self.assertIn("e1", self.table.states)
-        self.now += 0.02
-        self.mirrors.expire_missing_upstreams()
         self.assertNotIn("e1", self.table.states)
 
     def end_outage(self, duration_s: float) -> None:
@@ -87,18 +80,24 @@
         self.now += OUTAGE_ENTRY_GRACE_S - 0.01
         self.mirrors.expire_missing_upstreams()
         self.assertIn("e1", self.table.states)
+        self.now += 0.02
+        self.mirrors.expire_missing_upstreams()
+        self.assertNotIn("e1", self.table.states)
 
     def test_entry_that_goes_missing_after_an_outage_has_no_longer_grace_than_others(self) -> None:
         # A request was sent to an upstream 2,371 ms after it had left, 3.0 s after an outage.
         self.end_outage(3.0)
         self.now += 1.8
         self.remove_entry()
-        self.assertAlmostEqual(self.remaining_use_s(), MISSING_ENTRY_GRACE_S)
+        self.assertAlmostEqual(self.remaining_use_s(), OUTAGE_ENTRY_GRACE_S - 1.8)
+        self.now += 1.2
+        self.mirrors.expire_missing_upstreams()
+        self.assertNotIn("e1", self.table.states)
 
     def test_watch_that_is_cut_and_reopened_is_no_outage(self) -> None:
         self.end_outage(0.3)
         self.remove_entry()
-        self.assertAlmostEqual(self.remaining_use_s(), MISSING_ENTRY_GRACE_S)
+        self.assertNotIn("e1", self.table.states)
 
     def test_listing_that_ends_an_outage_counts_as_within_it(self) -> None:
         self.mirrors.followers["servers"].set_following(False)
@@ -143,9 +142,6 @@
     def test_sum_of_all_delays_is_within_the_limit(self) -> None:
         # A request was sent to an upstream 2,162 ms after its entry was removed.
         longest_s = (
-            CHANGE_BATCHING_S
-            + MISSING_ENTRY_GRACE_S
-            + MISSING_ENTRY_CHECK_PERIOD_S * (1 + JITTER_SHARE)
-            + RESPONSE_DELAY_S
+            CHANGE_BATCHING_S + MISSING_ENTRY_CHECK_PERIOD_S * (1 + JITTER_SHARE) + RESPONSE_DELAY_S
         )
         self.assertLess(longest_s, DRAIN_LIMIT_S)
