Do not send a request to an upstream that left while its connection was opened

Now the check is repeated right before the first byte, for short and long requests; the request goes to another upstream, and the attempt does not count. The new test failed before: the draining upstream got the request.

--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -105,10 +105,8 @@
         outcome = Outcome.UNKNOWN if self.send_started else Outcome.NOT_RUN
         return UpstreamError(message, step=step, peer=self.connection.address, outcome=outcome)
 
-    async def send(self, request: bytes, before_send: BeforeSend | None) -> None:
-        """Send the encoded request unless `before_send` raises an error; raise UpstreamError."""
-        if before_send is not None:
-            before_send()
+    async def send(self, request: bytes) -> None:
+        """Send the encoded request; raise UpstreamError."""
         self.send_started = True
         try:
             await self.connection.stream.send(request)
@@ -223,13 +221,15 @@
         returned_to_pool = False
         try:
             data = self._encode(connection, method, target, headers, body)
+            if before_send is not None:
+                before_send()
             if len(data) <= MAX_INLINE_REQUEST_BYTES:
-                await exchange.send(data, before_send)
+                await exchange.send(data)
                 yield exchange
             else:
                 failure: Exception | None = None
                 async with anyio.create_task_group() as sender:
-                    sender.start_soon(_send_ignoring_lost_connection, exchange, data, before_send)
+                    sender.start_soon(_send_ignoring_lost_connection, exchange, data)
                     try:
                         yield exchange
                     except Exception as error:  # raised below, since the task group would wrap it
@@ -347,12 +347,10 @@
         )
 
 
-async def _send_ignoring_lost_connection(
-    exchange: Exchange, data: bytes, before_send: BeforeSend | None
-) -> None:
+async def _send_ignoring_lost_connection(exchange: Exchange, data: bytes) -> None:
     """Send a long request; a lost connection is reported when the response is read."""
     try:
-        await exchange.send(data, before_send)
+        await exchange.send(data)
     except UpstreamError:
         return
 
--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass
 
 from ..edge import Exchange, HttpPool, ResponseHead
+from ..errors import Outcome, Step, UpstreamError
 from ._model import ResponseMetadata, Upstream
 from ._upstreams import UpstreamState
 
 Headers = list[tuple[bytes, bytes]]
+UPSTREAM_LEFT = "upstream-left"
+"""Code of the error for a request that was not sent because its upstream is leaving or gone."""
 
 
 @dataclass(slots=True)
@@ -27,10 +30,6 @@
     expected_version: int | None = None
     sent: bool = False
 
-    def mark_sent(self) -> None:
-        """Record that bytes of the request may have reached the upstream."""
-        self.sent = True
-
 
 @dataclass(slots=True, frozen=True)
 class UpstreamCodec:
@@ -67,7 +66,22 @@
         headers: Headers,
         body: bytes,
     ) -> AsyncIterator[UpstreamResponse]:
-        """Send a request and yield the response after its head is read; raise UpstreamError."""
+        """Send a request and yield the response after its head is read; raise UpstreamError.
+
+        The error's code is UPSTREAM_LEFT if the upstream has left since it was chosen.
+        """
+
+        def check_before_send() -> None:
+            if state.has_left():
+                raise UpstreamError(
+                    "upstream left before the request was sent",
+                    step=Step.CONNECT,
+                    peer=state.upstream.id,
+                    outcome=Outcome.NOT_RUN,
+                    code=UPSTREAM_LEFT,
+                )
+            attempt.sent = True
+
         async with self.pool.exchange(
             state.upstream.address,
             method,
@@ -75,7 +89,7 @@
             self.codec.encode(headers, attempt),
             body,
             lifetime=state.upstream.lifetime,
-            before_send=attempt.mark_sent,
+            before_send=check_before_send,
         ) as exchange:
             head = await exchange.read_head()
             metadata = self.codec.decode(head)
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -9,7 +9,7 @@
 
 from ..edge import HttpResponse
 from ..errors import AcaciarillError, Outcome, RefusedError, Step, UpstreamError
-from ._attempts import Attempt, AttemptSender
+from ._attempts import UPSTREAM_LEFT, Attempt, AttemptSender
 from ._model import ResponseMetadata, Route
 from ._upstreams import UpstreamState, UpstreamTable
 from .const import (
@@ -88,6 +88,9 @@
             try:
                 return await self._attempt(request, state, remaining_s)
             except UpstreamError as error:
+                if error.code == UPSTREAM_LEFT:
+                    request.attempted_upstreams.pop()
+                    continue
                 last_error = error
                 request.may_have_run |= error.outcome is not Outcome.NOT_RUN
                 self._log_failed_attempt(request, state, error)
@@ -120,7 +123,7 @@
             rejected = error.code == UPSTREAM_FULL
             if rejected:
                 state.record_overload(self.clock())
-            else:
+            elif error.code != UPSTREAM_LEFT:
                 state.record_failure(self.clock())
                 self.sender.pool.close_idle_connections(state.upstream.address)
             raise
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -7,7 +7,7 @@
 
 from ..edge import ResponseHead, check_event_size
 from ..errors import Outcome, RefusedError, Step, UpstreamError
-from ._attempts import Attempt
+from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
 from ._upstreams import UpstreamState
 from .const import DEADLINE_RESERVE_S, RETRY_AFTER_MIN_S
@@ -50,6 +50,9 @@
                     await self._attempt(request, state, remaining_s, progress, start, send)
                 return progress.head or ResponseHead(STATUS_OK, [])
             except (UpstreamError, TimeoutError) as error:
+                if isinstance(error, UpstreamError) and error.code == UPSTREAM_LEFT:
+                    request.attempted_upstreams.pop()
+                    continue
                 not_run = isinstance(error, UpstreamError) and error.outcome is Outcome.NOT_RUN
                 request.may_have_run |= not not_run
                 log_message(
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -53,9 +53,13 @@
         )
         return self.upstream.slots - self.in_flight - others_in_flight
 
+    def has_left(self) -> bool:
+        """Return whether the upstream is leaving or gone and must get no new requests."""
+        return self.deregistered or self.upstream.draining
+
     def is_usable(self, now: float) -> bool:
         """Return whether the upstream may get new requests."""
-        return not self.deregistered and not self.upstream.draining and self.ejected_until <= now
+        return not self.has_left() and self.ejected_until <= now
 
     def record_load_report(self, report: LoadReport, now: float) -> None:
         """Derive the load of other daemons from a report, which includes this daemon's requests."""
@@ -174,7 +178,7 @@
         usable = [state for state in states if state.is_usable(now)]
         if not usable:
             # All upstreams are ejected: an attempt may succeed, a refusal never does.
-            usable = [s for s in states if not s.deregistered and not s.upstream.draining]
+            usable = [state for state in states if not state.has_left()]
         if not usable:
             return None
         not_overloaded = [state for state in usable if state.overloaded_until <= now] or usable
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -166,8 +166,8 @@
 
     While it is paused it makes no calls to the store: the mirror then receives changes from a peer.
     `watch_delay_s` is the delay before the next watch, so that one call returns several changes;
-    `listing_retry_delay_s` is the delay after a failed listing. `confirmed_at` is when the mirror was
-    last known to be up to date, before the change that its listeners are being told of.
+    `listing_retry_delay_s` is the delay after a failed listing. `confirmed_at` is when the mirror
+    was last known to be up to date, before the change that its listeners are being told of.
     """
 
     def __init__(
--- a/tests/fleet/test_forward.py
+++ b/tests/fleet/test_forward.py
@@ -2,11 +2,13 @@
 
 import random
 import unittest
+from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
 
 from acaciarill.edge import HttpPool, HttpResponse, ResponseHead
+from acaciarill.edge.const import MAX_INLINE_REQUEST_BYTES
 from acaciarill.errors import AcaciarillError, Outcome
 from acaciarill.fleet import (
     Attempt,
@@ -54,11 +56,28 @@
         await anyio.sleep_forever()
 
 
+class DelayedPool(HttpPool):
+    """Call a function while each connection is being opened."""
+
+    def __init__(self, on_connect: Callable[[str], None]) -> None:
+        super().__init__(anyio.current_time)
+        self.on_connect = on_connect
+
+    async def _connect(self, address: str):  # type: ignore[no-untyped-def]
+        connection = await super()._connect(address)
+        self.on_connect(address)
+        return connection
+
+
 class ForwardTest(unittest.IsolatedAsyncioTestCase):
     """Forward a request to upstreams that fail in different ways."""
 
     async def forward(
-        self, route: Route, *scripts: ResponseScript, pool: HttpPool | None = None
+        self,
+        route: Route,
+        *scripts: ResponseScript,
+        pool: HttpPool | None = None,
+        body: bytes = b"x",
     ) -> tuple[HttpResponse | AcaciarillError, ForwardedRequest, int]:
         """Return the outcome, the request, and how many attempts reached upstreams."""
         upstreams = [FakeUpstream(script) for script in scripts]
@@ -92,7 +111,7 @@
                 "POST",
                 "/r/1",
                 [(b"X-Request-Id", b"id-1")],
-                b"x",
+                body,
                 route,
                 "s",
                 "customer",
@@ -139,6 +158,22 @@
         outcome, request, _ = await self.forward(IDEMPOTENT_ROUTE, never_respond, OK)
         self.assertEqual((outcome.head.status, request.attempted_upstreams), (200, ["u0", "u1"]))
 
+    async def test_request_is_not_sent_to_an_upstream_that_left_after_it_was_chosen(self) -> None:
+        # Opening a connection takes up to 0.4 s, during which an upstream may leave.
+        def drain_first(address: str) -> None:
+            upstreams = [state.upstream for state in self.table.states.values()]
+            if address == upstreams[0].address:
+                self.table.update([replace(upstreams[0], draining=True), *upstreams[1:]])
+
+        for body in (b"x", b"x" * (MAX_INLINE_REQUEST_BYTES + 1)):
+            pool = DelayedPool(drain_first)
+            outcome, request, attempt_count = await self.forward(
+                replace(ONCE, max_attempts=1), OK, OK, pool=pool, body=body
+            )
+            self.assertEqual((outcome.head.status, attempt_count), (200, 1))
+            self.assertEqual(request.attempted_upstreams, ["u1"])
+            self.assertEqual(self.runs, ["customer"])
+
     async def test_only_status_500_counts_as_server_error(self) -> None:
         # Regression (hunt-944f-15, MIXED): a batch item failed because a 504 was counted as a
         # failed scoring attempt.
