--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -49,12 +49,22 @@
 
 
 class AttemptSender:
-    """Send attempts to upstreams and record the load that their responses report."""
+    """Send attempts to upstreams and record the load and the limits that their responses report.
 
-    def __init__(self, pool: HttpPool, codec: UpstreamCodec, clock: Callable[[], float]) -> None:
+    `on_sent` is called for each attempt with whether its upstream had named a limit before.
+    """
+
+    def __init__(
+        self,
+        pool: HttpPool,
+        codec: UpstreamCodec,
+        clock: Callable[[], float],
+        on_sent: Callable[[bool], None] = lambda rate_limited: None,
+    ) -> None:
         self.pool = pool
         self.codec = codec
         self.clock = clock
+        self.on_sent = on_sent
 
     @asynccontextmanager
     async def open(
@@ -81,6 +91,7 @@
                     code=UPSTREAM_LEFT,
                 )
             attempt.sent = True
+            self.on_sent(state.rate_limit is not None)
 
         async with self.pool.exchange(
             state.upstream.address,
@@ -95,4 +106,6 @@
             metadata = self.codec.decode(head)
             if metadata.load is not None:
                 state.record_load_report(metadata.load, self.clock())
+            if metadata.rate_limit is not None or metadata.request_id:
+                state.record_rate_limit(metadata.rate_limit)
             yield UpstreamResponse(exchange, head, metadata)
--- a/acaciarill/fleet/_model.py
+++ b/acaciarill/fleet/_model.py
@@ -155,6 +155,8 @@
     """Hold the metadata in the head of an upstream's response.
 
     `not_run` says that the upstream did not run the request; `server_stamp` proves that it did.
+    `rate_limit` is how many requests per second the upstream accepts from all daemons together, or
+    None without a limit.
     """
 
     request_id: str = ""
@@ -162,3 +164,4 @@
     server_stamp: str = ""
     load: LoadReport | None = None
     weight_version: int | None = None
+    rate_limit: float | None = None
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -23,6 +23,8 @@
     """Hold the state of one upstream as this daemon sees it; times are on the daemon's clock.
 
     `in_flight` counts this daemon's requests, `others_in_flight` those of all other daemons.
+    `rate_limit` is how many requests per second the upstream accepts from all daemons together, by
+    its latest response, or None.
     `observed_versions` are weight versions seen at the engine but not yet in its registration.
     """
 
@@ -35,6 +37,7 @@
     overloaded_until: float = 0.0
     consecutive_rejections: int = 0
     deregistered: bool = False
+    rate_limit: float | None = None
     event_interval_s: float = 0.0
     event_interval_updated_at: float = 0.0
     observed_versions: dict[str, int] = field(default_factory=dict)
@@ -66,6 +69,17 @@
         self.others_in_flight = max(0, report.running + report.waiting - self.in_flight)
         self.load_reported_at = now
 
+    def record_rate_limit(self, rate_limit: float | None) -> None:
+        """Record the limit in the latest response, and log when it changes."""
+        if rate_limit != self.rate_limit:
+            log_message(
+                message_type="upstream:rate_limit_changed",
+                upstream=self.upstream.id,
+                limit=rate_limit,
+                previous_limit=self.rate_limit,
+            )
+        self.rate_limit = rate_limit
+
     def newest_version(self, model: str) -> int | None:
         """Return the newest weight version of a model that the upstream has loaded, or None."""
         registered = self.upstream.versions.get(model)
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -123,7 +123,7 @@
             )
 
     def _build_serving(self) -> None:
-        sender = AttemptSender(self.pool, self.ports.codec, self.clock)
+        sender = AttemptSender(self.pool, self.ports.codec, self.clock, self.metrics.count_attempt)
         self.forwarder = Forwarder(
             sender, self.table, self.clock, self.rng, self._count_started_request
         )
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -28,6 +28,17 @@
             registry=self.registry,
         )
 
+        self.attempts = Counter(
+            "acaciarill_attempts",
+            "Requests sent to upstreams, by whether the upstream had named a rate limit",
+            ["rate_limited"],
+            registry=self.registry,
+        )
+
+    def count_attempt(self, rate_limited: bool) -> None:
+        """Count one request sent to an upstream."""
+        self.attempts.labels(str(rate_limited).lower()).inc()
+
     def count_store_call(self, method: str, relayed: bool) -> None:
         """Count one call to the object store."""
         self.store_calls.labels(method, str(relayed).lower()).inc()
--- a/acaciarill/platform/_headers.py
+++ b/acaciarill/platform/_headers.py
@@ -1,5 +1,7 @@
 """Encode attempts as the platform's request headers and decode its response headers."""
 
+import math
+
 from ..batches.const import REQUEST_ID_PLACEHOLDER
 from ..edge import ResponseHead
 from ..fleet import Attempt, LoadReport, ResponseMetadata, UpstreamCodec
@@ -11,6 +13,7 @@
     HEADER_LAST_EVENT_ID,
     HEADER_NOT_RUN,
     HEADER_PRIORITY,
+    HEADER_RATE_LIMIT,
     HEADER_REQUEST_ID,
     HEADER_SERVER_STAMP,
     HEADER_UPSTREAM_LOAD,
@@ -70,9 +73,19 @@
         server_stamp=head.get(HEADER_SERVER_STAMP) or "",
         load=_decode_load(head.get(HEADER_UPSTREAM_LOAD)),
         weight_version=int(version) if version and version.isdigit() else None,
+        rate_limit=_decode_rate_limit(head.get(HEADER_RATE_LIMIT)),
     )
 
 
+def _decode_rate_limit(text: str | None) -> float | None:
+    """Return the requests per second of a limit, or None if it is missing or malformed."""
+    try:
+        limit = float(text or "")
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0.0 else None
+
+
 def _decode_load(text: str | None) -> LoadReport | None:
     """Return the load of `running,waiting,slots`, or None if it is missing or malformed."""
     parts = (text or "").split(",")
