--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -177,6 +177,8 @@
         self.event_count = 6
         self.event_interval_s = EVENT_INTERVAL_S
         self.trickles = False
+        self.rate_limit = ""
+        self.request_times: list[float] = []
 
     def register(self, state: str = "ready") -> None:
         """Write the replica's entry to the store, as a real replica does."""
@@ -202,8 +204,10 @@
         elif request.target == "/order":
             await self._accept_order(request, responder)
         elif request.get(b"x-acaciarill-model"):
+            self.request_times.append(anyio.current_time())
             await self._generate(request, responder)
         else:
+            self.request_times.append(anyio.current_time())
             self.requests.append(request)
             await responder.send_response(
                 200, self._response_headers(request), b"plain " + request.body
@@ -211,10 +215,13 @@
 
     def _response_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
         request_id = request.headers_by_name[b"x-acaciarill-attempt-id"]
-        return [
+        headers = [
             (b"X-Acaciarill-Attempt-Id", request_id),
             (b"X-Acaciarill-Server-Stamp", b"stamp-" + request_id),
         ]
+        if self.rate_limit:
+            headers.append((b"Server-Limit", self.rate_limit.encode()))
+        return headers
 
     def _report(self) -> dict[str, Any]:
         models = [{"name": m, "version": v} for m, v in self.models.items()]
