Share the rate limit that an upstream names between all daemons

Cause: the limit was not read; each daemon chose upstreams by load alone, and a limited one has little load. What cannot be sent in time is rejected at once as not run, with the time of the next permit as Retry-After; items of batches stay queued, and scoring requests do not wait for permits ahead of clients' requests.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -36,6 +36,7 @@
     STATE_COMPLETED,
     STATE_FAILED,
     STOP_IDLE,
+    STOP_LIMITED,
     STOP_SLOW,
     TAKEOVER_DELAY_S,
     UNLIMITED_ATTEMPT_S,
@@ -232,6 +233,8 @@
             async with self.ports.scheduler.acquire_slot(slot_request) as state:
                 waited = self.ports.clock() - started
                 status, reason = await self._attempt(item, route, text, state)
+            if reason == STOP_LIMITED:
+                continue
             log_message(
                 message_type="item:attempt",
                 batch=self.batch_id,
@@ -282,6 +285,10 @@
     ) -> tuple[int, str]:
         """Run an item on one engine; return the status and why the text is incomplete, if so."""
         ports = self.ports
+        try:
+            await ports.sender.acquire_permit(state, 0.0)
+        except UpstreamError:
+            return 0, STOP_LIMITED
         attempt = Attempt(
             state.upstream,
             self._remaining_s(route),
@@ -380,6 +387,7 @@
                 "",
                 self.ports.clock() + SCORE_TIMEOUT_S,
                 metered=False,
+                background=True,
             )
             try:
                 http_response = await self.ports.forwarder.forward(request)
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -11,7 +11,7 @@
 import anyio
 
 from ..fleet import UpstreamState, UpstreamTable
-from ..fleet.const import EVENT_INTERVAL_MAX_S, SLOW_ENGINE_FACTOR
+from ..fleet.const import EVENT_INTERVAL_MAX_S, PERMIT_PENDING_S, SLOW_ENGINE_FACTOR
 from .const import (
     BURST_GAP_S,
     EVENTS_PER_PACE_SAMPLE,
@@ -139,7 +139,9 @@
             if state is None:
                 continue
             state.in_flight += 1
-            if state.free_slots(now) <= 0:
+            if state.rate_limit is not None:
+                state.limited_until = now + PERMIT_PENDING_S
+            if state.free_slots(now) <= 0 or state.limited_until > now:
                 open_states[service].remove(state)
             waiter.assigned = state
             self._remember_group_upstream(waiter.slot_request.group, state.upstream.id)
@@ -182,7 +184,7 @@
         if idle_s >= SOFT_STALL_TIMEOUT_S:
             claimed_slots[alternative.upstream.id] += 1
             return STOP_IDLE
-        if self._is_faster_elsewhere(stream, alternative, now):
+        if alternative.rate_limit is None and self._is_faster_elsewhere(stream, alternative, now):
             claimed_slots[alternative.upstream.id] += 1
             return STOP_SLOW
         return ""
@@ -232,7 +234,7 @@
             state
             for state in self.table.states_for(service)
             if state.is_usable(now)
-            and state.overloaded_until <= now
+            and max(state.overloaded_until, state.limited_until) <= now
             and state.free_slots(now) > claimed_slots.get(state.upstream.id, 0)
         ]
 
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -47,6 +47,7 @@
 """An engine that has processed a group's prompt is preferred while its load, as a share of its
 slots, is at most this much above the lowest: a more loaded engine generates more slowly."""
 STOP_STALLED = "no event within the stall timeout"
+STOP_LIMITED = "rate limit"
 STOP_IDLE = "no event lately and another engine is free"
 STOP_SLOW = "slow engine"
 EVENTS_PER_PACE_SAMPLE = 4
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -15,6 +15,8 @@
     Upstream,
     group_routes_by_host,
 )
+from ._permits import UPSTREAM_LIMITED, RatePermits
+from ._rate_limits import Permit, RateLimit
 from ._store_channel import StoreChannel
 from ._streaming import StreamForwarder
 from ._upstreams import UpstreamState, UpstreamTable
@@ -31,6 +33,10 @@
     "LoadReport",
     "Member",
     "Members",
+    "Permit",
+    "RateLimit",
+    "RatePermits",
+    "UPSTREAM_LIMITED",
     "Route",
     "RouteKind",
     "Scaling",
--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -1,6 +1,6 @@
 """Send one attempt of a request to an upstream and decode its response."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -48,10 +48,20 @@
     metadata: ResponseMetadata
 
 
+AcquirePermit = Callable[[UpstreamState, float], Awaitable[None]]
+
+
+async def _permit_always(state: UpstreamState, max_wait_s: float) -> None:
+    """Permit every request."""
+
+
 class AttemptSender:
     """Send attempts to upstreams and record the load and the limits that their responses report.
 
     `on_sent` is called for each attempt with whether its upstream had named a limit before.
+    `on_limit_lifted` is called when an upstream names no limit any more.
+    `acquire_permit` waits up to some seconds until a request may be sent to an upstream, and raises
+    UpstreamError with the code UPSTREAM_LIMITED otherwise.
     """
 
     def __init__(
@@ -60,11 +70,23 @@
         codec: UpstreamCodec,
         clock: Callable[[], float],
         on_sent: Callable[[bool], None] = lambda rate_limited: None,
+        acquire_permit: AcquirePermit | None = None,
+        on_limit_lifted: Callable[[UpstreamState], None] = lambda state: None,
     ) -> None:
         self.pool = pool
         self.codec = codec
         self.clock = clock
         self.on_sent = on_sent
+        self.acquire_permit = acquire_permit or _permit_always
+        self.on_limit_lifted = on_limit_lifted
+
+    def _record_rate_limit(self, state: UpstreamState, metadata: ResponseMetadata) -> None:
+        if metadata.rate_limit is None and not metadata.request_id:
+            return  # not a response to this daemon's request
+        was_limited = state.rate_limit is not None
+        state.record_rate_limit(metadata.rate_limit, self.clock())
+        if was_limited and metadata.rate_limit is None:
+            self.on_limit_lifted(state)
 
     @asynccontextmanager
     async def open(
@@ -106,6 +128,5 @@
             metadata = self.codec.decode(head)
             if metadata.load is not None:
                 state.record_load_report(metadata.load, self.clock())
-            if metadata.rate_limit is not None or metadata.request_id:
-                state.record_rate_limit(metadata.rate_limit)
+            self._record_rate_limit(state, metadata)
             yield UpstreamResponse(exchange, head, metadata)
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -16,12 +16,14 @@
     ATTEMPT_TIMEOUT_FACTOR,
     ATTEMPT_TIMEOUT_MIN_S,
     DEADLINE_RESERVE_S,
+    LIMIT_PATIENCE_FACTOR,
     RETRY_AFTER_JITTER_S,
     RETRY_AFTER_MIN_S,
     RETRY_DELAY_MAX_S,
 )
 
 STATUS_SERVER_ERROR = 500
+ALL_LIMITED = "all upstreams of the service have reached their rate limits"
 UPSTREAM_FULL = "upstream-full"
 """Code of the error for a request that an upstream rejected without running it."""
 
@@ -30,7 +32,8 @@
 class ForwardedRequest:
     """Hold one request to forward and the progress of its attempts.
 
-    `deadline` is on the daemon's clock. Only a metered request is counted as usage.
+    `deadline` is on the daemon's clock. Only a metered request is counted as usage. No client waits
+    for the response of a background request, which waits for no permit ahead of clients' requests.
     `server_error_count` counts the responses with status 500.
     """
 
@@ -44,6 +47,7 @@
     customer: str
     deadline: float
     metered: bool = True
+    background: bool = False
     attempted_upstreams: list[str] = field(default_factory=list)
     may_have_run: bool = False
     server_error_count: int = 0
@@ -84,6 +88,9 @@
                 state = self.table.choose(request.service)
             if state is None:
                 raise self._refusal_error(request, "no upstream of the service accepts requests")
+            if not await self.acquire_permit(request, state):
+                continue
+            remaining_s = request.deadline - self.clock() - DEADLINE_RESERVE_S
             request.attempted_upstreams.append(state.upstream.id)
             try:
                 return await self._attempt(request, state, remaining_s)
@@ -99,6 +106,33 @@
             await anyio.sleep(RETRY_DELAY_MAX_S * self.rng.random())
         raise self._final_error(request, last_error)
 
+    async def acquire_permit(self, request: ForwardedRequest, state: UpstreamState) -> bool:
+        """Return whether the request may be sent now, or False if another upstream may accept it.
+
+        Raise AcaciarillError with the time of the next permit if no upstream can accept it in time.
+        """
+        now = self.clock()
+        is_last_choice = state.limited_until > now
+        max_wait_s = self._patience_s(request, now) if is_last_choice else 0.0
+        if is_last_choice and not max_wait_s:
+            raise self._refusal_error(request, ALL_LIMITED, state.limited_until - now)
+        try:
+            await self.sender.acquire_permit(state, max_wait_s)
+        except UpstreamError as error:
+            if is_last_choice:
+                raise self._refusal_error(request, ALL_LIMITED, error.retry_after_s) from error
+            return False
+        return True
+
+    def _patience_s(self, request: ForwardedRequest, now: float) -> float:
+        """Return how long a request waits for a permit: if it may have run, to its deadline."""
+        if request.background:
+            return 0.0
+        remaining_s = max(0.0, request.deadline - now - DEADLINE_RESERVE_S)
+        if request.may_have_run:
+            return remaining_s
+        return min(remaining_s, LIMIT_PATIENCE_FACTOR * request.route.latency_objective_s)
+
     async def _attempt(
         self, request: ForwardedRequest, state: UpstreamState, remaining_s: float
     ) -> HttpResponse:
@@ -198,10 +232,13 @@
             str(last_error) if last_error is not None else "deadline exceeded",
         )
 
-    def _refusal_error(self, request: ForwardedRequest, reason: str) -> AcaciarillError:
+    def _refusal_error(
+        self, request: ForwardedRequest, reason: str, retry_after_s: float | None = None
+    ) -> AcaciarillError:
         if request.may_have_run:
             return UpstreamError(reason, step=Step.ROUTE, status=502, outcome=Outcome.UNKNOWN)
-        retry_after_s = RETRY_AFTER_MIN_S + RETRY_AFTER_JITTER_S * self.rng.random()
+        if retry_after_s is None:
+            retry_after_s = RETRY_AFTER_MIN_S + RETRY_AFTER_JITTER_S * self.rng.random()
         return RefusedError(reason, step=Step.ADMIT, retry_after_s=retry_after_s)
 
     def _log_failed_attempt(
--- a/acaciarill/fleet/_members.py
+++ b/acaciarill/fleet/_members.py
@@ -149,6 +149,15 @@
         ]
         return rendezvous_order(key, live)[0] if live else self.name
 
+    def live_order(self, key: str) -> list[str]:
+        """Return the reachable daemons that are not draining, in the key's rendezvous order."""
+        live = [
+            member.name
+            for member in self.by_name.values()
+            if member.unreachable_since is None and not member.draining
+        ]
+        return rendezvous_order(key, live)
+
     def store_relays(self) -> list[Member]:
         """Return the peers that can relay calls to the store, the latest contact first."""
         now = self.clock()
--- /dev/null
+++ b/acaciarill/fleet/_permits.py
@@ -0,0 +1,165 @@
+"""Obtain permits for requests to upstreams that limit their rate, and issue them to other daemons.
+
+For each upstream, the first live daemon in rendezvous order issues the permits. No daemon is
+elected, and none holds state that another cannot replace.
+"""
+
+import math
+from collections.abc import Awaitable, Callable
+
+import anyio
+from eliot import log_message
+
+from ..errors import Outcome, PeerError, Step, UpstreamError
+from ._members import Members
+from ._rate_limits import (
+    Permit,
+    RateBucket,
+    RateLimit,
+    effective_rate,
+    isolated_rate,
+    issue_permit,
+)
+from ._upstreams import UpstreamState
+from .const import (
+    BUCKET_TTL_S,
+    ISSUER_BACKOFF_S,
+    MAX_ISSUERS_TRIED,
+    PERMIT_PENDING_S,
+    PERMIT_TIMEOUT_S,
+)
+
+UPSTREAM_LIMITED = "upstream-limited"
+"""Code of the error for a request that was not sent because of its upstream's rate limit."""
+
+CallIssuer = Callable[[str, str, RateLimit, float], Awaitable[Permit]]
+"""Ask a daemon for a permit: its name, the upstream's key, the limit and the longest wait in
+seconds; raise PeerError."""
+AnnounceLifted = Callable[[str, str], None]
+"""Tell a daemon, by its name, that the upstream with a key no longer limits its rate."""
+
+
+class RatePermits:
+    """Hold the buckets of the upstreams for which this daemon issues permits.
+
+    `on_permit` is called with the outcome of each request for a permit.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        call_issuer: CallIssuer,
+        announce_lifted: AnnounceLifted,
+        clock: Callable[[], float],
+        on_permit: Callable[[str], None] = lambda outcome: None,
+    ) -> None:
+        self.members = members
+        self.call_issuer = call_issuer
+        self.announce_lifted = announce_lifted
+        self.clock = clock
+        self.on_permit = on_permit
+        self.buckets: dict[str, RateBucket] = {}
+        self.lifted_at: dict[str, float] = {}
+        self.avoided_until: dict[str, float] = {}
+        self.isolated_until = 0.0
+
+    async def acquire(self, state: UpstreamState, max_wait_s: float) -> None:
+        """Wait until a request may be sent to an upstream; raise UpstreamError if that is too late.
+
+        The error's code is UPSTREAM_LIMITED; its `retry_after_s` is when to try again.
+        """
+        if state.rate_limit is None:
+            return
+        named_at = state.rate_limit_named_at
+        limit = RateLimit(state.rate_limit, self.clock() - named_at)
+        if not max_wait_s:  # of several requests at once, only one asks
+            state.limited_until = self.clock() + PERMIT_PENDING_S
+        permit = await self._request_permit(_key(state), limit, max_wait_s)
+        if permit.limit_lifted:
+            if state.rate_limit_named_at == named_at:
+                state.record_rate_limit(None, self.clock())
+            return
+        state.limited_until = self.clock() + permit.next_s
+        self.on_permit("granted" if permit.granted else "rejected")
+        if not permit.granted:
+            raise UpstreamError(
+                "upstream has reached its rate limit",
+                step=Step.ADMIT,
+                peer=state.upstream.id,
+                outcome=Outcome.NOT_RUN,
+                code=UPSTREAM_LIMITED,
+                retry_after_s=permit.wait_s,
+            )
+        if permit.wait_s:
+            await anyio.sleep(permit.wait_s)
+
+    def report_lifted(self, state: UpstreamState) -> None:
+        """Tell the issuer that a response of an upstream named no limit any more."""
+        key = _key(state)
+        issuer = self.members.live_order(key)[0]
+        if issuer == self.members.name:
+            self.record_lifted(key)
+        else:
+            self.announce_lifted(issuer, key)
+
+    def record_lifted(self, key: str) -> None:
+        """Record that an upstream no longer limits its rate, for daemons that ask later."""
+        self.lifted_at[key] = self.clock()
+        self.buckets.pop(key, None)
+
+    async def _request_permit(self, key: str, limit: RateLimit, max_wait_s: float) -> Permit:
+        now = self.clock()
+        if self.isolated_until > now:
+            return self._issue_isolated(key, limit, max_wait_s)
+        issuers = [
+            name
+            for name in self.members.live_order(key)
+            if self.avoided_until.get(name, 0.0) <= now
+        ]
+        for name in issuers[:MAX_ISSUERS_TRIED]:
+            if name == self.members.name:
+                return self.issue(key, limit, max_wait_s)
+            try:
+                with anyio.fail_after(PERMIT_TIMEOUT_S):
+                    return await self.call_issuer(name, key, limit, max_wait_s)
+            except (PeerError, TimeoutError) as error:
+                self.avoided_until[name] = self.clock() + ISSUER_BACKOFF_S
+                self.on_permit("issuer_unreachable")
+                log_message(
+                    message_type="permits:issuer_lost",
+                    peer=name,
+                    reason=str(error) or "timed out waiting for the response",
+                    backoff_s=ISSUER_BACKOFF_S,
+                )
+        self.isolated_until = self.clock() + ISSUER_BACKOFF_S
+        return self._issue_isolated(key, limit, max_wait_s)
+
+    def issue(self, key: str, limit: RateLimit, max_wait_s: float) -> Permit:
+        """Issue a permit to this or another daemon."""
+        if self.clock() - self.lifted_at.get(key, -math.inf) < limit.age_s:
+            return Permit(True, 0.0, 0.0, limit_lifted=True)
+        is_first = self.members.live_order(key)[:1] == [self.members.name]
+        return self._issue(key, effective_rate(limit.rate, is_first), max_wait_s)
+
+    def _issue_isolated(self, key: str, limit: RateLimit, max_wait_s: float) -> Permit:
+        rate = isolated_rate(limit.rate, len(self.members.by_name))
+        return self._issue(key, rate, max_wait_s)
+
+    def _issue(self, key: str, rate: float, max_wait_s: float) -> Permit:
+        now = self.clock()
+        if key not in self.buckets:
+            self._drop_unused(now)
+            self.buckets[key] = RateBucket(now)  # no credit: another may have just issued permits
+        return issue_permit(self.buckets[key], rate, now, max_wait_s)
+
+    def _drop_unused(self, now: float) -> None:
+        for key, bucket in list(self.buckets.items()):
+            if bucket.next_at < now - BUCKET_TTL_S:
+                del self.buckets[key]
+        for key, lifted_at in list(self.lifted_at.items()):
+            if lifted_at < now - BUCKET_TTL_S:
+                del self.lifted_at[key]
+
+
+def _key(state: UpstreamState) -> str:
+    return f"{state.upstream.id}/{state.upstream.lifetime}"
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -43,6 +43,9 @@
             state = self.forwarder.table.choose(request.service, request.attempted_upstreams)
             if remaining_s <= 0 or state is None:
                 break
+            if not await self.forwarder.acquire_permit(request, state):
+                continue
+            remaining_s = request.deadline - self.forwarder.clock() - DEADLINE_RESERVE_S
             request.attempted_upstreams.append(state.upstream.id)
             progress = _Progress(last_event_id, head)
             try:
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -23,8 +23,9 @@
     """Hold the state of one upstream as this daemon sees it; times are on the daemon's clock.
 
     `in_flight` counts this daemon's requests, `others_in_flight` those of all other daemons.
-    `rate_limit` is how many requests per second the upstream accepts from all daemons together, by
-    its latest response, or None.
+    `rate_limit` is how many requests per second the upstream accepts from all daemons together, or
+    None, as its latest response said at `rate_limit_named_at`. `limited_until` is when the next
+    permit for a request to it falls due.
     `observed_versions` are weight versions seen at the engine but not yet in its registration.
     """
 
@@ -38,6 +39,8 @@
     consecutive_rejections: int = 0
     deregistered: bool = False
     rate_limit: float | None = None
+    rate_limit_named_at: float = 0.0
+    limited_until: float = 0.0
     event_interval_s: float = 0.0
     event_interval_updated_at: float = 0.0
     observed_versions: dict[str, int] = field(default_factory=dict)
@@ -69,7 +72,7 @@
         self.others_in_flight = max(0, report.running + report.waiting - self.in_flight)
         self.load_reported_at = now
 
-    def record_rate_limit(self, rate_limit: float | None) -> None:
+    def record_rate_limit(self, rate_limit: float | None, now: float) -> None:
         """Record the limit in the latest response, and log when it changes."""
         if rate_limit != self.rate_limit:
             log_message(
@@ -79,6 +82,9 @@
                 previous_limit=self.rate_limit,
             )
         self.rate_limit = rate_limit
+        self.rate_limit_named_at = now
+        if rate_limit is None:
+            self.limited_until = 0.0
 
     def newest_version(self, model: str) -> int | None:
         """Return the newest weight version of a model that the upstream has loaded, or None."""
@@ -186,7 +192,10 @@
             self.notify_listeners()
 
     def choose(self, service: str, excluded: Collection[str] = ()) -> UpstreamState | None:
-        """Return the least loaded upstream, or None if all are excluded or draining."""
+        """Return the least loaded upstream, or None if all are excluded or draining.
+
+        If the rate limits of all allow no request now, it is the one whose permit falls due first.
+        """
         now = self.clock()
         states = [state for state in self.states_for(service) if state.upstream.id not in excluded]
         usable = [state for state in states if state.is_usable(now)]
@@ -195,7 +204,10 @@
             usable = [state for state in states if not state.has_left()]
         if not usable:
             return None
-        not_overloaded = [state for state in usable if state.overloaded_until <= now] or usable
+        unlimited = [state for state in usable if state.limited_until <= now]
+        if not unlimited:
+            return min(usable, key=lambda state: state.limited_until)
+        not_overloaded = [s for s in unlimited if s.overloaded_until <= now] or unlimited
         return min(not_overloaded, key=lambda state: self._sort_key(state, now))
 
     def _sort_key(self, state: UpstreamState, now: float) -> tuple[float, bool, float]:
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -26,6 +26,27 @@
 DEADLINE_RESERVE_S = 0.02
 """Time reserved before a request's deadline so that the final response still reaches the client."""
 
+MIN_RATE = 0.25
+"""Lowest rate at which an upstream gets requests; without any, the end of a limit would never be
+noticed."""
+PERMIT_BURST_S = 1.0
+"""How many seconds' worth of permits may be issued at once after a pause."""
+SUBSTITUTE_RATE_SHARE = 0.25
+"""Share of the limit that a daemon issues that is not the first choice as issuer; with the first
+choice's permits, the sum stays within one and a half times the limit."""
+MAX_PROMISED_WAIT_S = 3.0
+"""How far ahead rejected requests are told to come back; clients wait at most a third of their
+remaining time."""
+PERMIT_TIMEOUT_S = 0.4
+PERMIT_PENDING_S = 0.1
+"""How long an upstream with a rate limit counts as limited while a permit is requested."""
+ISSUER_BACKOFF_S = 3.0
+"""How long an issuer is not asked again after it did not respond."""
+MAX_ISSUERS_TRIED = 2
+BUCKET_TTL_S = 60.0
+LIMIT_PATIENCE_FACTOR = 0.5
+"""How long a request waits for a permit, as a share of its route's latency objective."""
+
 PING_PERIOD_S = 1.0
 PING_TIMEOUT_S = 0.8
 PEER_DEAD_AFTER_S = 2.5
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -21,6 +21,7 @@
     Configuration,
     Forwarder,
     Members,
+    RatePermits,
     StoreChannel,
     UpstreamTable,
 )
@@ -123,7 +124,22 @@
             )
 
     def _build_serving(self) -> None:
-        sender = AttemptSender(self.pool, self.ports.codec, self.clock, self.metrics.count_attempt)
+        permits = RatePermits(
+            self.members,
+            self.peers.take_permit,
+            self.peers.announce_lifted,
+            self.clock,
+            self.metrics.count_permit,
+        )
+        self.peers.permits = permits
+        sender = AttemptSender(
+            self.pool,
+            self.ports.codec,
+            self.clock,
+            self.metrics.count_attempt,
+            permits.acquire,
+            permits.report_lifted,
+        )
         self.forwarder = Forwarder(
             sender, self.table, self.clock, self.rng, self._count_started_request
         )
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -35,6 +35,17 @@
             registry=self.registry,
         )
 
+        self.permits = Counter(
+            "acaciarill_permits",
+            "Requests for permits to send to upstreams with a rate limit, by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
+
+    def count_permit(self, outcome: str) -> None:
+        """Count one request for a permit."""
+        self.permits.labels(outcome).inc()
+
     def count_attempt(self, rate_limited: bool) -> None:
         """Count one request sent to an upstream."""
         self.attempts.labels(str(rate_limited).lower()).inc()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -11,8 +11,8 @@
 from ..batches import BatchManager, Result, ResultPage
 from ..control import StartedRequestCounter
 from ..errors import Outcome, PeerError, Step
-from ..fleet import ROLE_FRONT, Members, StoreChannel, UpstreamTable
-from ..fleet.const import PING_TIMEOUT_S, VIEW_FETCH_DELAY_S
+from ..fleet import ROLE_FRONT, Members, Permit, RateLimit, RatePermits, StoreChannel, UpstreamTable
+from ..fleet.const import PERMIT_TIMEOUT_S, PING_TIMEOUT_S, VIEW_FETCH_DELAY_S
 from ..mirrors import Mirror, MirrorFollower, Record
 from ..peers import PeerLinks, PeerServer, messages
 from ..peers.const import PROTOCOL_VERSION
@@ -46,6 +46,7 @@
         self.incarnation = f"{members.name}.{uuid4().hex[:8]}"
         self.batch_manager: BatchManager | None = None
         self.table: UpstreamTable | None = None
+        self.permits: RatePermits | None = None
         self.fetching_kinds: set[str] = set()
         own = members.own
         greeting = messages.Greeting(
@@ -65,6 +66,8 @@
             "collect_usage": self._on_collect_usage,
             "version_seen": self._on_version_seen,
             "own_batch": self._on_own_batch,
+            "take_permit": self._on_take_permit,
+            "limit_lifted": self._on_limit_lifted,
             "watch_views": MirrorServer(followers, members.clock).on_watch_views,
         }
 
@@ -275,6 +278,54 @@
             self.table.observe_version(call.upstream, call.lifetime, call.model, call.version)
         return {"done": messages.Done()}
 
+    # Rate limits
+
+    async def take_permit(
+        self, issuer: str, upstream: str, limit: RateLimit, max_wait_s: float
+    ) -> Permit:
+        """Ask a daemon for a permit to send a request to an upstream; raise PeerError."""
+        call = messages.TakePermit(
+            upstream=upstream, limit=limit.rate, limit_age_s=limit.age_s, max_wait_s=max_wait_s
+        )
+        address = self.members.by_name[issuer].address
+        frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_permit=call)
+        permit = frame.issued_permit
+        return Permit(permit.granted, permit.wait_s, permit.next_s, bool(permit.limit_lifted))
+
+    async def _on_take_permit(self, call: messages.TakePermit) -> dict[str, messages.IssuedPermit]:
+        if self.permits is None:
+            raise PeerError(
+                "this daemon issues no permits", step=Step.FORWARD, outcome=Outcome.NOT_RUN
+            )
+        limit = RateLimit(call.limit, call.limit_age_s)
+        permit = self.permits.issue(call.upstream, limit, call.max_wait_s)
+        return {
+            "issued_permit": messages.IssuedPermit(
+                granted=permit.granted,
+                wait_s=permit.wait_s,
+                next_s=permit.next_s,
+                limit_lifted=permit.limit_lifted,
+            )
+        }
+
+    def announce_lifted(self, issuer: str, upstream: str) -> None:
+        """Tell the issuer of an upstream's permits that its limit is lifted; do not wait."""
+        self.task_group.start_soon(
+            self._announce_lifted, self.members.by_name[issuer].address, upstream
+        )
+
+    async def _announce_lifted(self, address: str, upstream: str) -> None:
+        call = messages.LimitLifted(upstream=upstream)
+        try:
+            await self.links.call(address, PERMIT_TIMEOUT_S, limit_lifted=call)
+        except PeerError as error:
+            log_message(message_type="permits:announce_failed", peer=address, reason=error.message)
+
+    async def _on_limit_lifted(self, call: messages.LimitLifted) -> dict[str, messages.Done]:
+        if self.permits is not None:
+            self.permits.record_lifted(call.upstream)
+        return {"done": messages.Done()}
+
     # Usage
 
     async def collect_usage(self, window: int) -> dict[str, dict[int, dict[str, int]]]:
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -302,6 +302,31 @@
   5: binary texts,
 }
 
+// Requests permission to send one request to an upstream that accepts `limit` requests per second.
+// `upstream` names one lifetime of it. `limit_age_s` is the time since a response to the requester
+// named the limit. The requester would wait for up to `max_wait_s`.
+struct TakePermit {
+  1: string upstream,
+  2: double limit,
+  3: double limit_age_s,
+  4: double max_wait_s,
+}
+
+// `wait_s` is the time until the request may be sent, or until it should be tried again if it is not
+// granted. `next_s` is the time until the next permit falls due. `limit_lifted` says that a later
+// response of the upstream named no limit.
+struct IssuedPermit {
+  1: bool granted,
+  2: double wait_s,
+  3: double next_s,
+  4: bool limit_lifted,
+}
+
+// Tells the issuer of an upstream's permits that a response of the upstream named no limit any more.
+struct LimitLifted {
+  1: string upstream,
+}
+
 // Confirms a call whose response has no contents.
 struct Done {
 }
@@ -350,6 +375,9 @@
   32: optional OwnBatch own_batch,
   33: optional WatchViews watch_views,
   34: optional ViewsChanged views_changed,
+  35: optional TakePermit take_permit,
+  36: optional IssuedPermit issued_permit,
+  37: optional LimitLifted limit_lifted,
 }
 
 // The progress of a consumer of a step. A trainer sends it with each pull, as an opaque string.
--- a/tests/fleet/test_forward.py
+++ b/tests/fleet/test_forward.py
@@ -9,7 +9,7 @@
 
 from acaciarill.edge import HttpPool, HttpResponse, ResponseHead
 from acaciarill.edge.const import MAX_INLINE_REQUEST_BYTES
-from acaciarill.errors import AcaciarillError, Outcome
+from acaciarill.errors import AcaciarillError, Outcome, Step, UpstreamError
 from acaciarill.fleet import (
     Attempt,
     AttemptSender,
@@ -20,8 +20,10 @@
     RouteKind,
     Upstream,
     UpstreamCodec,
+    UpstreamState,
     UpstreamTable,
 )
+from acaciarill.fleet.const import LIMIT_PATIENCE_FACTOR
 from tests.fakes.upstream import (
     FakeUpstream,
     ResponseScript,
@@ -72,12 +74,29 @@
 class ForwardTest(unittest.IsolatedAsyncioTestCase):
     """Forward a request to upstreams that fail in different ways."""
 
+    def setUp(self) -> None:
+        self.waits_s: dict[str, float] = {}
+        self.permit_calls: list[tuple[str, float]] = []
+
+    async def acquire_permit(self, state: UpstreamState, max_wait_s: float) -> None:
+        """Permit requests to an upstream after its time in `waits_s`, if it has one."""
+        wait_s = self.waits_s.get(state.upstream.id)
+        if wait_s is None:
+            return
+        self.permit_calls.append((state.upstream.id, max_wait_s))
+        if wait_s > max_wait_s:
+            state.limited_until = anyio.current_time() + wait_s
+            raise UpstreamError(
+                "limited", step=Step.ADMIT, outcome=Outcome.NOT_RUN, retry_after_s=wait_s
+            )
+
     async def forward(
         self,
         route: Route,
         *scripts: ResponseScript,
         pool: HttpPool | None = None,
         body: bytes = b"x",
+        background: bool = False,
     ) -> tuple[HttpResponse | AcaciarillError, ForwardedRequest, int]:
         """Return the outcome, the request, and how many attempts reached upstreams."""
         upstreams = [FakeUpstream(script) for script in scripts]
@@ -100,6 +119,7 @@
                     pool or HttpPool(anyio.current_time),
                     UpstreamCodec(encode, decode),
                     anyio.current_time,
+                    acquire_permit=self.acquire_permit,
                 ),
                 table,
                 anyio.current_time,
@@ -116,6 +136,7 @@
                 "s",
                 "customer",
                 anyio.current_time() + 2.0,
+                background=background,
             )
             outcome: HttpResponse | AcaciarillError
             try:
@@ -174,6 +195,30 @@
             self.assertEqual(request.attempted_upstreams, ["u1"])
             self.assertEqual(self.runs, ["customer"])
 
+    async def test_request_waits_for_a_permit_only_if_no_other_upstream_accepts_it(self) -> None:
+        self.waits_s = {"u0": 0.3, "u1": 0.0}
+        outcome, request, _ = await self.forward(IDEMPOTENT_ROUTE, OK, OK)
+        self.assertEqual((outcome.head.status, request.attempted_upstreams), (200, ["u1"]))
+        self.assertEqual(self.permit_calls, [("u0", 0.0), ("u1", 0.0)])
+
+    async def test_request_that_no_limit_allows_in_time_is_rejected_with_the_time_of_the_permit(
+        self,
+    ) -> None:
+        self.waits_s = {"u0": 0.3, "u1": 0.2}
+        outcome, _, attempt_count = await self.forward(IDEMPOTENT_ROUTE, OK, OK)
+        self.assertEqual((outcome.outcome, outcome.status), (Outcome.NOT_RUN, 503))
+        self.assertEqual((outcome.retry_after_s, attempt_count), (0.2, 0))
+        patience_s = LIMIT_PATIENCE_FACTOR * IDEMPOTENT_ROUTE.latency_objective_s
+        self.assertEqual(self.permit_calls[-1], ("u1", patience_s))
+
+    async def test_background_request_never_waits_for_a_permit_ahead_of_clients(self) -> None:
+        # Scoring requests, which may wait longer, would take each permit before clients' requests.
+        self.waits_s = {"u0": 0.3, "u1": 0.2}
+        outcome, _, _ = await self.forward(IDEMPOTENT_ROUTE, OK, OK, background=True)
+        self.assertEqual(outcome.status, 503)
+        self.assertAlmostEqual(outcome.retry_after_s, 0.2, delta=0.05)
+        self.assertEqual(self.permit_calls, [("u0", 0.0), ("u1", 0.0)])
+
     async def test_only_status_500_counts_as_server_error(self) -> None:
         # Regression (hunt-944f-15, MIXED): a batch item failed because a 504 was counted as a
         # failed scoring attempt.
