Pause only the holder of the capacity duty in the scenario of duties

Where it stopped the holder of the weights duty, the holder of the capacity duty went on, and no successor's order could come. Now the pause waits for the head of a capacity order.

--- a/tests/fakes/weakened.py
+++ b/tests/fakes/weakened.py
@@ -26,8 +26,10 @@
 PAUSE_FILE = "ACACIARILL_TEST_PAUSE"
 """Environment variable with the path of a file.
 
-A daemon that finds the file deletes it and stops itself by SIGSTOP before it writes an order.
+A daemon that finds the file deletes it and stops itself by SIGSTOP before it writes an order of
+capacity. Other orders belong to duties that another daemon may hold.
 """
+CAPACITY_ORDER_START = b"PUT /orders/"
 
 
 def _retry_all_errors() -> None:
@@ -202,7 +204,7 @@
     original = orders.LeaseCheckedStream.write
 
     async def write(self, buffer, timeout=None) -> None:
-        if Path(path).exists():
+        if buffer.startswith(CAPACITY_ORDER_START) and Path(path).exists():
             Path(path).unlink()
             os.kill(os.getpid(), signal.SIGSTOP)
         await original(self, buffer, timeout)
