Keep the state of an upstream whose registration returns in the same lifetime

Found by looking for what else breaks a rate limit: an upstream whose entry is gone for a while (cut off from the store, or expired in an outage) came back with an empty state, so each daemon had forgotten its limit and its own requests that still ran there, and sent it a burst. The test failed before: limit None instead of 2.0, no request in flight instead of 3.

--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -8,6 +8,7 @@
 
 from ._model import LoadReport, Upstream
 from .const import (
+    DEREGISTERED_STATE_TTL_S,
     EJECTION_BASE_S,
     EJECTION_MAX_S,
     EVENT_INTERVAL_TTL_S,
@@ -139,6 +140,7 @@
         self.rng = rng
         self.states: dict[str, UpstreamState] = {}
         self.by_service: dict[str, list[UpstreamState]] = {}
+        self.deregistered_states: dict[str, tuple[UpstreamState, float]] = {}
         self.listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
@@ -147,17 +149,20 @@
         return lambda: self.listeners.remove(listener)
 
     def update(self, upstreams: list[Upstream]) -> None:
-        """Apply the list of registered upstreams; each new lifetime starts with an empty state."""
+        """Apply the list of registered upstreams; each new lifetime starts with an empty state.
+
+        An upstream whose registration returns in the same lifetime keeps its state.
+        """
         registered = {upstream.id: upstream for upstream in upstreams}
         for upstream_id in self.states.keys() - registered.keys():
-            self.states.pop(upstream_id).deregistered = True
-            log_message(message_type="upstream:removed", upstream=upstream_id)
+            self._deregister(upstream_id)
+        self._drop_old_states()
         for upstream_id, upstream in registered.items():
             state = self.states.get(upstream_id)
             if state is None or state.upstream.lifetime != upstream.lifetime:
                 if state is not None:
                     state.deregistered = True
-                self.states[upstream_id] = UpstreamState(upstream)
+                self.states[upstream_id] = self._restore_state(upstream) or UpstreamState(upstream)
                 log_message(
                     message_type="upstream:added",
                     upstream=upstream_id,
@@ -173,6 +178,26 @@
             self.by_service.setdefault(state.upstream.service, []).append(state)
         self.notify_listeners()
 
+    def _deregister(self, upstream_id: str) -> None:
+        state = self.states.pop(upstream_id)
+        state.deregistered = True
+        self.deregistered_states[upstream_id] = (state, self.clock())
+        log_message(message_type="upstream:removed", upstream=upstream_id)
+
+    def _restore_state(self, upstream: Upstream) -> UpstreamState | None:
+        """Return the state that an upstream had before its registration was gone, or None."""
+        state, _ = self.deregistered_states.pop(upstream.id, (None, 0.0))
+        if state is None or state.upstream.lifetime != upstream.lifetime:
+            return None
+        state.upstream, state.deregistered = upstream, False
+        return state
+
+    def _drop_old_states(self) -> None:
+        oldest = self.clock() - DEREGISTERED_STATE_TTL_S
+        for upstream_id, (_, deregistered_at) in list(self.deregistered_states.items()):
+            if deregistered_at < oldest:
+                del self.deregistered_states[upstream_id]
+
     def notify_listeners(self) -> None:
         """Call the listeners, because an upstream may have a free slot or a new version."""
         for listener in list(self.listeners):
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -10,6 +10,8 @@
 """How long an upstream that rejected a request is used only if all others are full; the time
 doubles with each rejection that follows soon."""
 OVERLOAD_BACKOFF_MAX_S = 0.8
+DEREGISTERED_STATE_TTL_S = 60.0
+"""How long the state of an upstream is kept after its registration is gone, as it may return."""
 LOAD_REPORT_TTL_S = 1.0
 """How long a load report of an upstream is used; the load changes within a second."""
 EVENT_INTERVAL_WEIGHT = 0.2
