--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -91,6 +91,8 @@
             if not await self.acquire_permit(request, state):
                 continue
             remaining_s = request.deadline - self.clock() - DEADLINE_RESERVE_S
+            if remaining_s <= 0:
+                break
             request.attempted_upstreams.append(state.upstream.id)
             try:
                 return await self._attempt(request, state, remaining_s)
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -46,6 +46,8 @@
             if not await self.forwarder.acquire_permit(request, state):
                 continue
             remaining_s = request.deadline - self.forwarder.clock() - DEADLINE_RESERVE_S
+            if remaining_s <= 0:
+                break
             request.attempted_upstreams.append(state.upstream.id)
             progress = _Progress(last_event_id, head)
             try:
--- a/tests/fleet/test_forward.py
+++ b/tests/fleet/test_forward.py
@@ -77,6 +77,7 @@
     def setUp(self) -> None:
         self.waits_s: dict[str, float] = {}
         self.permit_calls: list[tuple[str, float]] = []
+        self.permit_delay_s = 0.0
 
     async def acquire_permit(self, state: UpstreamState, max_wait_s: float) -> None:
         """Permit requests to an upstream after its time in `waits_s`, if it has one."""
@@ -84,6 +85,7 @@
         if wait_s is None:
             return
         self.permit_calls.append((state.upstream.id, max_wait_s))
+        await anyio.sleep(self.permit_delay_s)
         if wait_s > max_wait_s:
             state.limited_until = anyio.current_time() + wait_s
             raise UpstreamError(
@@ -211,6 +213,15 @@
         patience_s = LIMIT_PATIENCE_FACTOR * IDEMPOTENT_ROUTE.latency_objective_s
         self.assertEqual(self.permit_calls[-1], ("u1", patience_s))
 
+    async def test_deadline_that_passes_while_a_permit_is_requested_is_no_failure_of_the_upstream(
+        self,
+    ) -> None:
+        self.permit_delay_s = 2.1
+        self.waits_s = {"u0": 0.0}
+        outcome, _, attempt_count = await self.forward(IDEMPOTENT_ROUTE, OK)
+        self.assertEqual((outcome.outcome, attempt_count), (Outcome.NOT_RUN, 0))
+        self.assertEqual(self.table.states["u0"].consecutive_failures, 0)
+
     async def test_background_request_never_waits_for_a_permit_ahead_of_clients(self) -> None:
         # Scoring requests, which may wait longer, would take each permit before clients' requests.
         self.waits_s = {"u0": 0.3, "u1": 0.2}
