Lift a rate limit also while no daemon can issue permits

Found by reading: report_lifted took the first of an empty list when this daemon and all that it reaches are draining, so the response of the upstream was lost to an IndexError. The new test failed before with it.

--- a/acaciarill/fleet/_permits.py
+++ b/acaciarill/fleet/_permits.py
@@ -102,11 +102,11 @@
     def report_lifted(self, state: UpstreamState) -> None:
         """Tell the issuer that a response of an upstream named no limit any more."""
         key = _key(state)
-        issuer = self.members.live_order(key)[0]
-        if issuer == self.members.name:
-            self.record_lifted(key)
-        else:
-            self.announce_lifted(issuer, key)
+        for issuer in self.members.live_order(key)[:1]:
+            if issuer == self.members.name:
+                self.record_lifted(key)
+            else:
+                self.announce_lifted(issuer, key)
 
     def record_lifted(self, key: str) -> None:
         """Record that an upstream no longer limits its rate, for daemons that ask later."""
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -241,6 +241,14 @@
         self.assertTrue(await self.try_send(second))
         self.assertIsNone(self.states[second].rate_limit)
 
+    async def test_limit_may_be_lifted_while_no_daemon_can_issue_permits(self) -> None:
+        # All daemons were draining; the response that named no limit was lost to an IndexError.
+        permits = self.permits["f0"]
+        for name in self.permits:
+            permits.members.by_name[name].draining = True
+        permits.report_lifted(self.states["f0"])
+        self.assertTrue(await self.try_send("f0"))
+
     async def test_limit_that_is_named_again_after_it_was_lifted_is_kept(self) -> None:
         first, second = self.order[1], self.order[2]
         self.permits[first].report_lifted(self.states[first])
