--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -56,6 +56,8 @@
 
 def _is_free(port: int) -> bool:
     with socket.socket() as sock:
+        # Closed connections of an earlier fleet do not matter: servers listen with this option too.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind(("127.0.0.1", port))
         except OSError:
