--- a/acaciarill/command_line/_cli.py
+++ b/acaciarill/command_line/_cli.py
@@ -103,7 +103,7 @@
 def config() -> None:
     """Check, change and show the shared configuration.
 
-    Example: acaciarill config check examples/almaty.toml
+    Example: acaciarill config check config.toml
     """
 
 
@@ -113,7 +113,7 @@
 def config_check(files: tuple[Path, ...], as_json: bool) -> None:
     """Check configuration files without a daemon and report all faults.
 
-    Example: acaciarill config check examples/almaty.toml examples/cwmdu.toml
+    Example: acaciarill config check first.toml second.toml
     """
     from ..config import check_document
 
@@ -147,7 +147,7 @@
 ) -> None:
     """Replace the sections that a configuration file contains.
 
-    Example: acaciarill config apply examples/almaty.toml --wait
+    Example: acaciarill config apply config.toml --wait
     """
     from ..config import check_document, parse_document
 
