Tell a crash of an upstream from a malformed response, and name requests that are the same

A connection that ends before the response is complete now says so and has its own code. After one, CrashDetector looks whether anything listens at the address: if nothing does, or if the registration goes away within some seconds, the upstream crashed (upstream:crashed, acaciarill_upstream_crashes). An upstream that had announced that it leaves did not. All tries of a request share a request_key (method, host, path, customer, body) in both lines. Nothing is decided by this yet.

--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -1,9 +1,17 @@
 """Provide an HTTP/1.1 server and client that control each connection themselves."""
 
-from ._client import Exchange, HttpPool, HttpResponse, ResponseHead, check_event_size
+from ._client import (
+    CONNECTION_LOST,
+    Exchange,
+    HttpPool,
+    HttpResponse,
+    ResponseHead,
+    check_event_size,
+)
 from ._server import EdgeLimits, EdgeServer, Request, Responder
 
 __all__ = [
+    "CONNECTION_LOST",
     "EdgeLimits",
     "EdgeServer",
     "Exchange",
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -30,6 +30,10 @@
 BeforeSend = Callable[[], None]
 """Raise an error right before the first byte is sent if the request must not be sent."""
 
+CONNECTION_LOST = "connection-lost"
+"""Code of the error for a connection that ended before the response was complete."""
+CLOSED_EARLY = "connection was closed before the response was complete"
+
 _CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -101,9 +105,11 @@
         self.head: ResponseHead | None = None
         self.response_complete = False
 
-    def _build_error(self, message: str, step: Step) -> UpstreamError:
+    def _build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
         outcome = Outcome.UNKNOWN if self.send_started else Outcome.NOT_RUN
-        return UpstreamError(message, step=step, peer=self.connection.address, outcome=outcome)
+        return UpstreamError(
+            message, step=step, peer=self.connection.address, outcome=outcome, code=code
+        )
 
     async def send(self, request: bytes) -> None:
         """Send the encoded request; raise UpstreamError."""
@@ -112,15 +118,18 @@
             await self.connection.stream.send(request)
         except _CONNECTION_ERRORS as error:
             raise self._build_error(
-                "connection was lost while the request was being sent", Step.SEND
+                "connection was lost while the request was being sent", Step.SEND, CONNECTION_LOST
             ) from error
 
     async def _next_event(self) -> h11.Event:
         protocol = self.connection.protocol
+        closed = False
         while True:
             try:
                 event = protocol.next_event()
             except h11.RemoteProtocolError as error:
+                if closed:
+                    raise self._build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST) from error
                 raise self._build_error("response is malformed", Step.RECEIVE) from error
             if event is not h11.NEED_DATA:
                 return event
@@ -130,8 +139,11 @@
                 data = b""
             except _CONNECTION_ERRORS as error:
                 raise self._build_error(
-                    "connection was lost before the response was complete", Step.RECEIVE
+                    "connection was lost before the response was complete",
+                    Step.RECEIVE,
+                    CONNECTION_LOST,
                 ) from error
+            closed = not data
             protocol.receive_data(data)
 
     async def read_head(self) -> ResponseHead:
@@ -143,7 +155,7 @@
                 return self.head
             if isinstance(event, h11.InformationalResponse):
                 continue
-            raise self._build_error("connection was closed before the response head", Step.RECEIVE)
+            raise self._build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST)
         raise self._build_error(
             f"response has over {MAX_INTERIM_HEADS} informational heads", Step.RECEIVE
         )
@@ -158,9 +170,7 @@
                 self.response_complete = True
                 return
             else:
-                raise self._build_error(
-                    "connection was closed before the end of the response body", Step.RECEIVE
-                )
+                raise self._build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST)
 
     async def read_body(self) -> bytes:
         """Return the complete body; raise UpstreamError if it is incomplete or too long."""
@@ -258,6 +268,17 @@
             head = await exchange.read_head()
             return HttpResponse(head, await exchange.read_body())
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether no process listens at an address."""
+        host, port = split_address(address)
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(host, port)
+        except (OSError, TimeoutError) as error:
+            return isinstance(error.__cause__ or error, ConnectionRefusedError)
+        await anyio.aclose_forcefully(stream)
+        return False
+
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to an address that may no longer respond."""
         for key in [key for key in self.idle_connections if key[0] == address]:
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Route and forward requests to a shared fleet of upstreams, and reach the object store."""
 
 from ._attempts import Attempt, AttemptSender, UpstreamCodec
+from ._crash_detection import CrashDetector
 from ._forward import ForwardedRequest, Forwarder
 from ._members import ROLE_FRONT, Member, Members
 from ._model import (
@@ -28,6 +29,7 @@
     "AttemptSender",
     "ForwardedRequest",
     "Configuration",
+    "CrashDetector",
     "Engine",
     "Forwarder",
     "LoadReport",
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -1,16 +1,17 @@
 """Forward one request to upstreams, within the limits of its route and its deadline."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
 from eliot import log_message
 
-from ..edge import HttpResponse
+from ..edge import CONNECTION_LOST, HttpResponse
 from ..errors import AcaciarillError, Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt, AttemptSender
 from ._model import ResponseMetadata, Route
+from ._request_keys import compute_request_key
 from ._upstreams import UpstreamState, UpstreamTable
 from .const import (
     ATTEMPT_TIMEOUT_FACTOR,
@@ -51,12 +52,31 @@
     attempted_upstreams: list[str] = field(default_factory=list)
     may_have_run: bool = False
     server_error_count: int = 0
+    cached_key: str = ""
+
+    @property
+    def key(self) -> str:
+        """Return the key that this request shares with all others that are the same."""
+        if not self.cached_key:
+            self.cached_key = compute_request_key(
+                self.method, self.route.host, self.target, self.customer, self.body
+            )
+        return self.cached_key
+
+
+RecordLostConnection = Callable[[UpstreamState, str], Awaitable[None]]
+"""Record that the connection to an upstream was lost while the request with a key ran there."""
+
+
+async def _ignore_lost_connection(state: UpstreamState, request_key: str) -> None:
+    """Record nothing."""
 
 
 class Forwarder:
     """Send requests to upstreams and retry where that is safe.
 
     `on_run` is called with the customer and the time of sending for attempts that may have run.
+    `record_lost_connection` is called for clients' requests only.
     """
 
     def __init__(
@@ -66,12 +86,14 @@
         clock: Callable[[], float],
         rng: random.Random,
         on_run: Callable[[str, float], None] = lambda customer, at: None,
+        record_lost_connection: RecordLostConnection = _ignore_lost_connection,
     ) -> None:
         self.sender = sender
         self.table = table
         self.clock = clock
         self.rng = rng
         self.on_run = on_run
+        self.record_lost_connection = record_lost_connection
 
     async def forward(self, request: ForwardedRequest) -> HttpResponse:
         """Return an upstream's response; raise AcaciarillError if none arrives by the deadline.
@@ -103,6 +125,8 @@
                 last_error = error
                 request.may_have_run |= error.outcome is not Outcome.NOT_RUN
                 self._log_failed_attempt(request, state, error)
+                if error.code == CONNECTION_LOST and not request.background:
+                    await self.record_lost_connection(state, request.key)
                 if not error.is_retryable(request.route.repeatable):
                     break
             await anyio.sleep(RETRY_DELAY_MAX_S * self.rng.random())
@@ -249,6 +273,7 @@
         log_message(
             message_type="request:attempt_failed",
             request=request.id,
+            request_key=request.key,
             attempt=len(request.attempted_upstreams),
             upstream=state.upstream.id,
             step=str(error.step),
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -5,7 +5,7 @@
 import anyio
 from eliot import log_message
 
-from ..edge import ResponseHead, check_event_size
+from ..edge import CONNECTION_LOST, ResponseHead, check_event_size
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
@@ -63,6 +63,7 @@
                 log_message(
                     message_type="request:attempt_failed",
                     request=request.id,
+                    request_key=request.key,
                     attempt=len(request.attempted_upstreams),
                     upstream=state.upstream.id,
                     reason=str(error) or "deadline exceeded",
@@ -70,6 +71,8 @@
                 )
                 if not not_run:
                     state.record_failure(self.forwarder.clock())
+                if isinstance(error, UpstreamError) and error.code == CONNECTION_LOST:
+                    await self.forwarder.record_lost_connection(state, request.key)
                 last_event_id, head = progress.last_event_id, progress.head
                 started = head is not None
                 if (
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -87,3 +87,8 @@
 """The load balancer removes a daemon after two failed health checks, sent once a second."""
 DRAIN_MARGIN_S = 0.8
 DRAIN_POLL_S = 0.05
+
+CRASH_DETECTION_S = 6.0
+"""How long after a lost connection a registration that goes away tells of a crash; registrations
+expire some 3 s after a crash."""
+MAX_LOST_CONNECTIONS = 200
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -19,6 +19,7 @@
     ROLE_FRONT,
     AttemptSender,
     Configuration,
+    CrashDetector,
     Forwarder,
     Members,
     RatePermits,
@@ -141,8 +142,17 @@
             permits.acquire,
             permits.report_lifted,
         )
+        crash_detector = CrashDetector(
+            self.pool.is_refused, self.clock, lambda lifetime, key: self.metrics.count_crash()
+        )
+        self.table.subscribe(crash_detector.check_registrations)
         self.forwarder = Forwarder(
-            sender, self.table, self.clock, self.rng, self._count_started_request
+            sender,
+            self.table,
+            self.clock,
+            self.rng,
+            self._count_started_request,
+            crash_detector.record_lost_connection,
         )
         self.scheduler = EngineScheduler(self.table, self.clock)
         runner = RunnerPorts(
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -42,6 +42,16 @@
             registry=self.registry,
         )
 
+        self.crashes = Counter(
+            "acaciarill_upstream_crashes",
+            "Crashes of upstreams, counted for each request that this daemon had sent there",
+            registry=self.registry,
+        )
+
+    def count_crash(self) -> None:
+        """Count a request that was running at an upstream when it crashed."""
+        self.crashes.inc()
+
     def count_permit(self, outcome: str) -> None:
         """Count one request for a permit."""
         self.permits.labels(outcome).inc()
