--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -24,6 +24,10 @@
         self.address = f"127.0.0.1:{free_port()}"
         self.server = EdgeServer(self.address, self.serve, anyio.current_time)
 
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        await self.server.run(task_status=task_status)
+
     async def serve(self, request: Request, responder: Responder) -> None:
         """Respond to one request."""
         raise NotImplementedError
@@ -54,6 +58,13 @@
         self.kinds.setdefault(kind, {})[name] = stored
         self._record_change(kind, stored, False)
 
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        stored = self.kinds[kind].pop(name)
+        stored["metadata"]["rev"] = self.revision
+        self._record_change(kind, stored, True)
+
     def drop_watches(self) -> None:
         """Close the connections of waiting watches without a response."""
         self.watches_dropped = True
@@ -128,10 +139,7 @@
         if request.method == "GET":
             return 200, stored
         if request.method == "DELETE":
-            self.revision += 1
-            del objects[name]
-            stored["metadata"]["rev"] = self.revision
-            self._record_change(kind, stored, True)
+            self.delete(kind, name)
             return 200, stored
         if body["metadata"].get("rev", stored["metadata"]["rev"]) != stored["metadata"]["rev"]:
             return 409, stored
@@ -178,7 +186,9 @@
         self.event_interval_s = EVENT_INTERVAL_S
         self.trickles = False
         self.rate_limit = ""
+        self.response_delay_s = 0.0
         self.request_times: list[float] = []
+        self.born = 1
 
     def register(self, state: str = "ready") -> None:
         """Write the replica's entry to the store, as a real replica does."""
@@ -191,10 +201,14 @@
             "state": state,
             "models": models,
             "sequence": len(self.orders),
-            "born": 1,
+            "born": self.born,
         }
         self.store.put("servers", self.name, entry)
 
+    def deregister(self) -> None:
+        """Remove the replica's entry, as the store does when it has been silent for a while."""
+        self.store.delete("servers", self.name)
+
     async def serve(self, request: Request, responder: Responder) -> None:
         expected = request.get(b"x-acaciarill-expect-instance")
         if expected not in ("", self.name):
@@ -209,6 +223,7 @@
         else:
             self.request_times.append(anyio.current_time())
             self.requests.append(request)
+            await anyio.sleep(self.response_delay_s)
             await responder.send_response(
                 200, self._response_headers(request), b"plain " + request.body
             )
@@ -260,6 +275,52 @@
         await responder.finish()
 
 
+class CrashingReplica(FakeReplica):
+    """Crash when told to, or when a request with one of some bodies begins to run.
+
+    It starts again after `restart_s` under a new id, and its old entry stays until then.
+    """
+
+    def __init__(self, store: FakeStore, name: str, service: str, zone: str) -> None:
+        super().__init__(store, name, service, zone, {})
+        self.crashing_bodies: set[bytes] = set()
+        self.crash_times: list[float] = []
+        self.restart_s = 0.5
+        self.scope = anyio.CancelScope()
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Serve and restart after each crash, until cancelled."""
+        await self._run_once(task_status)
+        while True:
+            await anyio.sleep(self.restart_s)
+            self.deregister()
+            self.born += 1
+            self.name = f"{self.name.partition('-')[0]}-{self.born}"
+            self.server = EdgeServer(self.address, self.serve, anyio.current_time)
+            self.register()
+            await self._run_once(anyio.TASK_STATUS_IGNORED)
+
+    async def _run_once(self, task_status: anyio.abc.TaskStatus[None]) -> None:
+        with anyio.CancelScope() as self.scope:
+            await self.server.run(task_status=task_status)
+
+    def crash(self) -> None:
+        """End the process: all connections are lost, and new ones are refused."""
+        self.crash_times.append(anyio.current_time())
+        for connection in self.server.connections:
+            connection.must_abort = True
+        self.scope.cancel()
+
+    async def serve(self, request: Request, responder: Responder) -> None:
+        if request.body in self.crashing_bodies:
+            self.request_times.append(anyio.current_time())
+            self.requests.append(request)
+            await anyio.sleep(0.02)
+            self.crash()
+            await anyio.sleep_forever()
+        await super().serve(request, responder)
+
+
 def configuration(version: int = 1, keys: tuple[str, ...] = ("key-1", "key-2")) -> dict[str, Any]:
     """Return a configuration with a plain route, a scoring route and a route for batches."""
     common = {"hostname": "h.example", "timeout_ms": 3000, "target_latency_ms": 500}
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -41,24 +41,31 @@
             FakeReplica(self.store, f"e{i}", "llm", zone, {"m": 1}) for i, zone in enumerate("ab")
         ]
         self.web = FakeReplica(self.store, "w1", "web", "a", {})
+        self.other_replicas: list[FakeReplica] = []
         self.daemons: dict[str, FleetDaemon] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.pool = HttpPool(anyio.current_time)
 
     async def start(self) -> None:
         """Start the fakes, two front daemons and one daemon that serves no clients."""
-        for server in (self.store, self.duty_api, self.web, *self.engines):
-            await self.tasks.start(server.server.run)
-        for replica in (self.web, *self.engines):
+        replicas = (self.web, *self.engines, *self.other_replicas)
+        for server in (self.store, self.duty_api, *replicas):
+            await self.tasks.start(server.run)
+        for replica in replicas:
             replica.register()
         self.store.put("config", "main", configuration())
         for name, zone in (("f1", "a"), ("f2", "b"), ("s1", "a")):
-            self.tasks.start_soon(self._run_daemon, name, zone)
+            self.start_daemon(name, zone)
         await wait_until(lambda: len(self.daemons) == 3)
         fronts = [self.daemons["f1"], self.daemons["f2"]]
         await wait_until(lambda: all(d.configuration and d.table.states for d in fronts))
         await wait_until(lambda: all(len(d.members.by_name) == 3 for d in fronts))
 
+    def start_daemon(self, name: str, zone: str) -> None:
+        """Start a daemon, or start it again after its scope was cancelled."""
+        self.daemons.pop(name, None)
+        self.tasks.start_soon(self._run_daemon, name, zone)
+
     async def _run_daemon(self, name: str, zone: str) -> None:
         serves = name.startswith("f")
         settings = PlatformSettings(
