--- a/acaciarill/fleet/_permits.py
+++ b/acaciarill/fleet/_permits.py
@@ -8,9 +8,9 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from eliot import log_message
 
-from ..errors import Outcome, PeerError, Step, UpstreamError
+from ..errors import Outcome, Step, UpstreamError
+from ._issuers import Issuers
 from ._members import Members
 from ._rate_limits import (
     Permit,
@@ -24,11 +24,8 @@
 from ._upstreams import UpstreamState
 from .const import (
     BUCKET_TTL_S,
-    ISSUER_BACKOFF_S,
     ISSUER_PING_PERIOD_S,
-    MAX_ISSUERS_TRIED,
     PERMIT_PENDING_S,
-    PERMIT_TIMEOUT_S,
 )
 
 UPSTREAM_LIMITED = "upstream-limited"
@@ -66,8 +63,7 @@
         self.buckets: dict[str, RateBucket] = {}
         self.lifted_at: dict[str, float] = {}
         self.pinged_at: dict[str, float] = {}
-        self.avoided_until: dict[str, float] = {}
-        self.isolated_until = 0.0
+        self.issuers = Issuers(members, clock, lambda: on_permit("issuer_unreachable"))
 
     async def acquire(self, state: UpstreamState, max_wait_s: float) -> None:
         """Wait until a request may be sent to an upstream; raise UpstreamError if that is too late.
@@ -114,31 +110,12 @@
         self.buckets.pop(key, None)
 
     async def _request_permit(self, key: str, limit: RateLimit, max_wait_s: float) -> Permit:
-        now = self.clock()
-        if self.isolated_until > now:
-            return self._issue_isolated(key, limit, max_wait_s)
-        issuers = [
-            name
-            for name in self.members.live_order(key)
-            if self.avoided_until.get(name, 0.0) <= now
-        ]
-        for name in issuers[:MAX_ISSUERS_TRIED]:
-            if name == self.members.name:
-                return self.issue(key, limit, max_wait_s)
-            try:
-                with anyio.fail_after(PERMIT_TIMEOUT_S):
-                    return await self.call_issuer(name, key, limit, max_wait_s)
-            except (PeerError, TimeoutError) as error:
-                self.avoided_until[name] = self.clock() + ISSUER_BACKOFF_S
-                self.on_permit("issuer_unreachable")
-                log_message(
-                    message_type="permits:issuer_lost",
-                    peer=name,
-                    reason=str(error) or "timed out waiting for the response",
-                    backoff_s=ISSUER_BACKOFF_S,
-                )
-        self.isolated_until = self.clock() + ISSUER_BACKOFF_S
-        return self._issue_isolated(key, limit, max_wait_s)
+        permit = await self.issuers.ask(
+            key,
+            lambda: self.issue(key, limit, max_wait_s),
+            lambda name: self.call_issuer(name, key, limit, max_wait_s),
+        )
+        return self._issue_isolated(key, limit, max_wait_s) if permit is None else permit
 
     def issue(self, key: str, limit: RateLimit, max_wait_s: float) -> Permit:
         """Issue a permit to this or another daemon."""
