Count a crash also after a request was given up, and no exit of an upstream that has left

Only lost connections counted as evidence. A request that was given up at the attempt timeout, or whose client left, goes on at upstreams that do not drop it, and may crash them later: such crashes were not counted, so the third one that counted could be the fifth. It counts now if connections to that upstream are refused within 6 s. The other way round, an upstream whose registration had gone and that ended its last requests was taken for a crash; it has left.

--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -2,6 +2,7 @@
 
 from ._client import (
     CONNECTION_LOST,
+    CONNECTION_REFUSED,
     Exchange,
     HttpPool,
     HttpResponse,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "CONNECTION_LOST",
+    "CONNECTION_REFUSED",
     "EdgeLimits",
     "EdgeServer",
     "Exchange",
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -32,6 +32,8 @@
 
 CONNECTION_LOST = "connection-lost"
 """Code of the error for a connection that ended before the response was complete."""
+CONNECTION_REFUSED = "connection-refused"
+"""Code of the error for an address at which no process listens."""
 CLOSED_EARLY = "connection was closed before the response was complete"
 
 _CONNECTION_ERRORS = (
@@ -275,7 +277,7 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, port)
         except (OSError, TimeoutError) as error:
-            return isinstance(error.__cause__ or error, ConnectionRefusedError)
+            return _is_refusal(error)
         await anyio.aclose_forcefully(stream)
         return False
 
@@ -313,11 +315,13 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, port)
         except (OSError, TimeoutError) as error:
+            refused = _is_refusal(error)
             raise UpstreamError(
-                "connection attempt failed or timed out",
+                "connection was refused" if refused else "connection attempt failed or timed out",
                 step=Step.CONNECT,
                 peer=address,
                 outcome=Outcome.NOT_RUN,
+                code=CONNECTION_REFUSED if refused else None,
             ) from error
         connection_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         connection_socket.setsockopt(
@@ -358,6 +362,10 @@
         return True
 
 
+def _is_refusal(error: OSError | TimeoutError) -> bool:
+    return isinstance(error.__cause__ or error, ConnectionRefusedError)
+
+
 def check_event_size(partial_event: bytes) -> None:
     """Raise UpstreamError if the incomplete event at the end of a stream is too long."""
     if len(partial_event) > MAX_EVENT_BYTES:
--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from ..edge import Exchange, HttpPool, ResponseHead
+from ..edge import CONNECTION_REFUSED, Exchange, HttpPool, ResponseHead
 from ..errors import Outcome, Step, UpstreamError
 from ._model import ResponseMetadata, Upstream
 from ._upstreams import UpstreamState
@@ -60,7 +60,8 @@
     """Send attempts to upstreams and record the load and the limits that their responses report.
 
     `on_sent` is called for each attempt with whether its upstream had named a limit before.
-    `on_limit_lifted` is called when an upstream names no limit any more.
+    `on_limit_lifted` is called when an upstream names no limit any more, `on_refused` when one
+    refuses a connection.
     `acquire_permit` waits up to some seconds until a request may be sent to an upstream, and raises
     UpstreamError with the code UPSTREAM_LIMITED otherwise.
     """
@@ -73,6 +74,7 @@
         on_sent: Callable[[bool], None] = lambda rate_limited: None,
         acquire_permit: AcquirePermit | None = None,
         on_limit_lifted: Callable[[UpstreamState], None] = lambda state: None,
+        on_refused: Callable[[UpstreamState], None] = lambda state: None,
     ) -> None:
         self.pool = pool
         self.codec = codec
@@ -80,6 +82,7 @@
         self.on_sent = on_sent
         self.acquire_permit = acquire_permit or _permit_always
         self.on_limit_lifted = on_limit_lifted
+        self.on_refused = on_refused
 
     def _record_rate_limit(self, state: UpstreamState, metadata: ResponseMetadata) -> None:
         if metadata.rate_limit is None and not metadata.request_id:
@@ -118,18 +121,23 @@
                 attempt.on_sent()
             self.on_sent(state.rate_limit is not None)
 
-        async with self.pool.exchange(
-            state.upstream.address,
-            method,
-            target,
-            self.codec.encode(headers, attempt),
-            body,
-            lifetime=state.upstream.lifetime,
-            before_send=check_before_send,
-        ) as exchange:
-            head = await exchange.read_head()
-            metadata = self.codec.decode(head)
-            if metadata.load is not None:
-                state.record_load_report(metadata.load, self.clock())
-            self._record_rate_limit(state, metadata)
-            yield UpstreamResponse(exchange, head, metadata)
+        try:
+            async with self.pool.exchange(
+                state.upstream.address,
+                method,
+                target,
+                self.codec.encode(headers, attempt),
+                body,
+                lifetime=state.upstream.lifetime,
+                before_send=check_before_send,
+            ) as exchange:
+                head = await exchange.read_head()
+                metadata = self.codec.decode(head)
+                if metadata.load is not None:
+                    state.record_load_report(metadata.load, self.clock())
+                self._record_rate_limit(state, metadata)
+                yield UpstreamResponse(exchange, head, metadata)
+        except UpstreamError as error:
+            if error.code == CONNECTION_REFUSED:
+                self.on_refused(state)
+            raise
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -1,7 +1,7 @@
 """Forward one request to upstreams, within the limits of its route and its deadline."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -10,6 +10,7 @@
 from ..edge import CONNECTION_LOST, HttpResponse
 from ..errors import AcaciarillError, Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt, AttemptSender
+from ._crash_detection import CrashDetector
 from ._model import ResponseMetadata, Route
 from ._quarantine import Quarantine
 from ._request_keys import compute_request_key
@@ -27,6 +28,8 @@
 STATUS_SERVER_ERROR = 500
 STATUS_GATEWAY_TIMEOUT = 504
 ALL_LIMITED = "all upstreams of the service have reached their rate limits"
+ATTEMPT_TIMED_OUT = "attempt-timed-out"
+"""Code of the error for an attempt that was given up without a response."""
 UPSTREAM_FULL = "upstream-full"
 """Code of the error for a request that an upstream rejected without running it."""
 
@@ -66,19 +69,11 @@
         return self.cached_key
 
 
-RecordLostConnection = Callable[[UpstreamState, str], Awaitable[None]]
-"""Record that the connection to an upstream was lost while the request with a key ran there."""
-
-
-async def _ignore_lost_connection(state: UpstreamState, request_key: str) -> None:
-    """Record nothing."""
-
-
 class Forwarder:
     """Send requests to upstreams and retry where that is safe.
 
     `on_run` is called with the customer and the time of sending for attempts that may have run.
-    Background requests are neither reported to `record_lost_connection` nor quarantined.
+    Background requests are neither reported to `crash_detector` nor quarantined.
     """
 
     def __init__(
@@ -88,7 +83,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         on_run: Callable[[str, float], None] = lambda customer, at: None,
-        record_lost_connection: RecordLostConnection = _ignore_lost_connection,
+        crash_detector: CrashDetector | None = None,
         quarantine: Quarantine | None = None,
     ) -> None:
         self.sender = sender
@@ -96,7 +91,7 @@
         self.clock = clock
         self.rng = rng
         self.on_run = on_run
-        self.record_lost_connection = record_lost_connection
+        self.crash_detector = crash_detector
         self.quarantine = quarantine
 
     async def forward(self, request: ForwardedRequest) -> HttpResponse:
@@ -130,8 +125,7 @@
                 last_error = error
                 request.may_have_run |= error.outcome is not Outcome.NOT_RUN
                 self._log_failed_attempt(request, state, error)
-                if error.code == CONNECTION_LOST and not request.background:
-                    await self.record_lost_connection(state, request.key)
+                await self.record_failure(request, state, error)
                 if not error.is_retryable(request.route.repeatable):
                     break
             await anyio.sleep(RETRY_DELAY_MAX_S * self.rng.random())
@@ -156,6 +150,24 @@
         trial_id = f"{request.id}/{len(request.attempted_upstreams)}"
         return lambda: quarantine.record_trial(request.key, trial_id)
 
+    async def record_failure(
+        self, request: ForwardedRequest, state: UpstreamState, error: UpstreamError
+    ) -> None:
+        """Record a failed attempt if the upstream may have crashed when it ran the request."""
+        if self.crash_detector is None or request.background:
+            return
+        if error.code == CONNECTION_LOST:
+            await self.crash_detector.record_lost_connection(state, request.key)
+        elif error.code == ATTEMPT_TIMED_OUT and error.outcome is not Outcome.NOT_RUN:
+            self.crash_detector.record_abandoned(state, request.key)
+
+    def record_cancelled(
+        self, request: ForwardedRequest, state: UpstreamState, attempt: Attempt
+    ) -> None:
+        """Record that the client left while an attempt was in progress."""
+        if self.crash_detector is not None and attempt.sent and not request.background:
+            self.crash_detector.record_abandoned(state, request.key)
+
     def record_completed(self, request: ForwardedRequest) -> None:
         """Record that an upstream ran the request to its end, so that it does not crash them."""
         if self.quarantine is not None and self.quarantine.records and not request.background:
@@ -211,7 +223,11 @@
                 step=Step.RECEIVE if attempt.sent else Step.CONNECT,
                 peer=state.upstream.id,
                 outcome=Outcome.UNKNOWN if attempt.sent else Outcome.NOT_RUN,
+                code=ATTEMPT_TIMED_OUT,
             )
+        except anyio.get_cancelled_exc_class():
+            self.record_cancelled(request, state, attempt)
+            raise
         except UpstreamError as error:
             rejected = error.code == UPSTREAM_FULL
             if rejected:
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -5,7 +5,7 @@
 import anyio
 from eliot import log_message
 
-from ..edge import CONNECTION_LOST, ResponseHead, check_event_size
+from ..edge import ResponseHead, check_event_size
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
@@ -73,8 +73,8 @@
                 )
                 if not not_run:
                     state.record_failure(self.forwarder.clock())
-                if isinstance(error, UpstreamError) and error.code == CONNECTION_LOST:
-                    await self.forwarder.record_lost_connection(state, request.key)
+                if isinstance(error, UpstreamError):
+                    await self.forwarder.record_failure(request, state, error)
                 last_event_id, head = progress.last_event_id, progress.head
                 started = head is not None
                 if (
@@ -145,6 +145,9 @@
                         await send(event + EVENT_END)
                 if partial:
                     await send(partial)
+        except anyio.get_cancelled_exc_class():
+            forwarder.record_cancelled(request, state, attempt)  # by its client or at its deadline
+            raise
         finally:
             state.in_flight -= 1
             forwarder.table.notify_listeners()
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -89,9 +89,9 @@
 DRAIN_POLL_S = 0.05
 
 CRASH_DETECTION_S = 6.0
-"""How long after a lost connection a registration that goes away tells of a crash; registrations
-expire some 3 s after a crash."""
-MAX_LOST_CONNECTIONS = 200
+"""How long after a request got no response a refused connection, or a registration that goes away,
+tells of a crash; registrations expire some 3 s after one."""
+MAX_SUSPICIONS = 200
 
 MAX_CRASHES_WITHOUT_TRIAL = 1
 """Crashes of upstreams under a request after which it is still retried like any other."""
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -137,14 +137,6 @@
             self.metrics.count_permit,
         )
         self.peers.permits = permits
-        sender = AttemptSender(
-            self.pool,
-            self.ports.codec,
-            self.clock,
-            self.metrics.count_attempt,
-            permits.acquire,
-            permits.report_lifted,
-        )
         self.quarantine = Quarantine(
             Issuers(self.members, self.clock),
             self.peers.take_trial,
@@ -155,13 +147,22 @@
         self.peers.quarantine = self.quarantine
         crash_detector = CrashDetector(self.pool.is_refused, self.clock, self._record_crash)
         self.table.subscribe(crash_detector.check_registrations)
+        sender = AttemptSender(
+            self.pool,
+            self.ports.codec,
+            self.clock,
+            self.metrics.count_attempt,
+            permits.acquire,
+            permits.report_lifted,
+            crash_detector.record_refused,
+        )
         self.forwarder = Forwarder(
             sender,
             self.table,
             self.clock,
             self.rng,
             self._count_started_request,
-            crash_detector.record_lost_connection,
+            crash_detector,
             self.quarantine,
         )
         self.scheduler = EngineScheduler(self.table, self.clock)
--- a/tests/fleet/test_crash_detection.py
+++ b/tests/fleet/test_crash_detection.py
@@ -50,6 +50,34 @@
         self.detector.check_registrations()
         self.assertEqual(self.crashes, [])
 
+    async def test_upstream_that_leaves_without_notice_has_not_crashed(self) -> None:
+        self.state.deregistered = True  # it serves on for a while, then ends what still runs
+        self.refused = True
+        await self.detector.record_lost_connection(self.state, "key")
+        self.assertEqual(self.crashes, [])
+
+    async def test_upstream_that_refuses_connections_soon_after_a_request_was_given_up(
+        self,
+    ) -> None:
+        self.detector.record_abandoned(self.state, "key")
+        self.now += CRASH_DETECTION_S - 1.0
+        for _ in range(2):
+            self.detector.record_refused(self.state)
+        self.assertEqual(self.crashes, [("u1/1", "key")])
+
+    async def test_request_given_up_long_ago_did_not_crash_the_upstream(self) -> None:
+        self.detector.record_abandoned(self.state, "key")
+        self.now += CRASH_DETECTION_S + 1.0
+        self.detector.record_refused(self.state)
+        self.assertEqual(self.crashes, [])
+
+    async def test_upstream_that_leaves_after_a_request_was_given_up_has_not_crashed(self) -> None:
+        self.detector.record_abandoned(self.state, "key")
+        self.state.deregistered = True
+        self.detector.record_refused(self.state)
+        self.detector.check_registrations()
+        self.assertEqual(self.crashes, [])
+
     async def test_upstream_that_announced_that_it_leaves_has_not_crashed(self) -> None:
         await self.detector.record_lost_connection(self.state, "key")
         self.state.upstream = replace(self.state.upstream, draining=True)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -1,6 +1,7 @@
 """Fake the users' platform: its store, the API for duty calls, and its replicas."""
 
 import base64
+import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -285,6 +286,8 @@
         super().__init__(store, name, service, zone, {})
         self.crashing_bodies: set[bytes] = set()
         self.crash_times: list[float] = []
+        self.crash_delay_s = 0.02
+        self.crash_due_at = math.inf
         self.restart_s = 0.5
         self.scope = anyio.CancelScope()
 
@@ -301,8 +304,17 @@
             await self._run_once(anyio.TASK_STATUS_IGNORED)
 
     async def _run_once(self, task_status: anyio.abc.TaskStatus[None]) -> None:
+        self.crash_due_at = math.inf
         with anyio.CancelScope() as self.scope:
-            await self.server.run(task_status=task_status)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._crash_when_due)
+                await self.server.run(task_status=task_status)
+
+    async def _crash_when_due(self) -> None:
+        """Crash also if the connection of the request that causes it is closed before."""
+        while anyio.current_time() < self.crash_due_at:  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+        self.crash()
 
     def crash(self) -> None:
         """End the process: all connections are lost, and new ones are refused."""
@@ -315,8 +327,7 @@
         if request.body in self.crashing_bodies:
             self.request_times.append(anyio.current_time())
             self.requests.append(request)
-            await anyio.sleep(0.02)
-            self.crash()
+            self.crash_due_at = min(self.crash_due_at, anyio.current_time() + self.crash_delay_s)
             await anyio.sleep_forever()
         await super().serve(request, responder)
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -131,6 +131,46 @@
                 await anyio.sleep(0.3)
             self.assertLessEqual(len(fleet.request_times()) - reached, MAX_LATE_RETRIES)
 
+    # Only the lost connections of a request counted, so an upstream that it crashed later did not.
+    async def test_crash_after_a_request_was_given_up_counts(self) -> None:
+        async with run_fleet() as fleet:
+            for replica in fleet.replicas:
+                replica.crash_delay_s, replica.restart_s = 1.3, 4.0
+            await fleet.send("f1", 1)  # is given up after a second and crashes another replica too
+            for number in range(40):
+                await fleet.send("f1", number, b"sound", "/p/sound")
+                await anyio.sleep(0.05)
+            (record,) = [r for r in fleet.daemons["f2"].quarantine.records.values() if r.crashes]
+            self.assertEqual(len(record.crashes), len(fleet.crash_times()))
+
+    async def test_daemon_that_missed_all_messages_learns_within_contact_s(self) -> None:
+        async with run_fleet() as fleet:
+            await crash_three(fleet)
+            for name in ("f2", "s1"):
+                fleet.daemons[name].quarantine.records.clear()
+            await anyio.sleep(CONTACT_S)
+            for name in ("f2", "s1"):
+                self.assertEqual(len(fleet.daemons[name].status()["quarantined_requests"]), 1)
+
+    async def test_daemons_that_were_all_killed_learn_from_one_without_clients(self) -> None:
+        async with run_fleet() as fleet:
+            await crash_three(fleet)
+            reached = len(fleet.request_times())
+            for name in ("f1", "f2"):
+                fleet.scopes[name].cancel()
+            await anyio.sleep(0.5)
+            fleet.start_daemon("f1", "a")
+            fleet.start_daemon("f2", "b")
+            await wait_until(lambda: len(fleet.daemons) == 3)
+            for name in ("f1", "f2"):
+                front = fleet.daemons[name]
+                await wait_until(lambda front=front: bool(front.configuration) and front.ready)
+                await wait_until(lambda front=front: len(front.table.states) == 6)
+            for number in range(100, 120):
+                await fleet.send("f1" if number % 2 else "f2", number)
+                await anyio.sleep(0.2)
+            self.assertLessEqual(len(fleet.request_times()) - reached, MAX_LATE_RETRIES)
+
     async def test_operator_releases_a_request_at_all_daemons(self) -> None:
         async with run_fleet() as fleet:
             await crash_three(fleet)
