Hold back trials that could leave a service without any upstream

A request that crashes upstreams got its first trial right after its second crash. While a service has a single usable upstream, a trial now waits until 3 s after the last crash.

test_trial_at_the_last_upstream_waits_until_the_others_are_back shows it.

--- a/acaciarill/fleet/_crash_records.py
+++ b/acaciarill/fleet/_crash_records.py
@@ -69,6 +69,10 @@
             return None
         return max(last_trial_at, crash_times[-1]) + LATE_TRIAL_BACKOFFS_S[late_trials]
 
+    def restarted_at(self) -> float:
+        """Return when the upstreams that crashed are expected to be back."""
+        return max(self.crashes.values(), default=-math.inf) + TRIAL_BACKOFF_S
+
     def expires_at(self) -> float:
         """Return when the record is forgotten."""
         times = (*self.crashes.values(), *self.trials.values())
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -140,8 +140,11 @@
         if quarantine is None or not quarantine.records or request.background:
             return None
         try:
-            max_wait_s = self._patience_s(request, self.clock())
-            if not await quarantine.admit(request.key, request.id, max_wait_s):
+            now = self.clock()
+            usable = [s for s in self.table.states_for(request.service) if s.is_usable(now)]
+            if not await quarantine.admit(
+                request.key, request.id, self._patience_s(request, now), len(usable) < 2
+            ):
                 return None
         except RefusedError as error:
             if not request.may_have_run:
--- a/acaciarill/fleet/_quarantine.py
+++ b/acaciarill/fleet/_quarantine.py
@@ -111,13 +111,20 @@
             if record.needs_trial()
         }
 
-    async def admit(self, key: str, attempt_id: str, max_wait_s: float) -> bool:
+    async def admit(
+        self, key: str, attempt_id: str, max_wait_s: float, is_last_upstream: bool = False
+    ) -> bool:
         """Return whether the attempt is a trial; raise AcaciarillError if it may not be sent.
 
-        While another trial runs, wait for its outcome up to `max_wait_s` seconds.
+        While another trial runs, wait for its outcome up to `max_wait_s` seconds. A trial that
+        could leave the service without any upstream waits until those that crashed are back.
         """
         give_up_at = self.clock() + max_wait_s
         while self.is_quarantined(key):
+            restart_wait_s = self.records[key].restarted_at() - self.clock()
+            if is_last_upstream and restart_wait_s > 0.0:
+                self.on_decision("rejected")
+                raise _rejection(TrialGrant(False, restart_wait_s))
             grant = await self.issuers.ask(
                 key,
                 lambda: self.issue_trial(key, attempt_id),
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -97,9 +97,10 @@
 """Crashes of upstreams under a request after which it is still retried like any other."""
 MAX_CRASHES = 3
 """Crashes under a request after which it gets only the trials of LATE_TRIAL_BACKOFFS_S."""
-TRIAL_BACKOFF_S = 2.0
-"""How long after a trial without an outcome the next one may follow."""
-LATE_TRIAL_BACKOFFS_S = (2.0, 15.0)
+TRIAL_BACKOFF_S = 3.0
+"""How long after a trial without an outcome, or after a crash that left a service with a single
+upstream, the next trial may follow; upstreams are back after some seconds."""
+LATE_TRIAL_BACKOFFS_S = (TRIAL_BACKOFF_S, 15.0)
 """How long after the last crash or trial each trial may follow that is sent after MAX_CRASHES."""
 TRIAL_RESERVATION_S = 1.0
 """How long an issued trial blocks others until it is sent."""
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -68,10 +68,16 @@
         self.by_name[name].record_crash(lifetime, key)
         self.now += 0.1
 
-    async def try_to_send(self, name: str, attempt_id: str) -> AcaciarillError | None:
+    def let_upstreams_return(self) -> None:
+        """Let the time pass until the upstreams that crashed are expected to be back."""
+        self.now += TRIAL_BACKOFF_S
+
+    async def try_to_send(
+        self, name: str, attempt_id: str, is_last_upstream: bool = False
+    ) -> AcaciarillError | None:
         """Send the request at one daemon; return the error if it is rejected."""
         try:
-            if await self.by_name[name].admit(KEY, attempt_id, 0.0):
+            if await self.by_name[name].admit(KEY, attempt_id, 0.0, is_last_upstream):
                 self.by_name[name].record_trial(KEY, attempt_id)
         except AcaciarillError as error:
             return error
@@ -121,6 +127,17 @@
         self.assertIsInstance(error, UpstreamError)
         self.assertEqual(error.status, 502)
 
+    # Its first trial followed at once, so a service of three upstreams was left without any.
+    async def test_trial_at_the_last_upstream_waits_until_the_others_are_back(self) -> None:
+        daemons = Daemons("a", "b")
+        daemons.crash("a", "u1")
+        daemons.crash("a", "u2")
+        error = await daemons.try_to_send("b", "r1", is_last_upstream=True)
+        self.assertIsInstance(error, RefusedError)
+        self.assertLessEqual(error.retry_after_s, TRIAL_BACKOFF_S)
+        daemons.let_upstreams_return()
+        self.assertIsNone(await daemons.try_to_send("b", "r2", is_last_upstream=True))
+
     async def test_only_one_trial_runs_at_a_time(self) -> None:
         daemons = Daemons("a", "b", "c")
         daemons.crash("a", "u1")
--- a/tests/fleet/test_quarantine_days.py
+++ b/tests/fleet/test_quarantine_days.py
@@ -91,7 +91,7 @@
         quarantine = self.daemons.by_name[daemon]
         trial_id = f"{call.key}/{call.tries}/{call.attempts}"
         try:
-            admission = quarantine.admit(call.key, trial_id, 0.0)
+            admission = quarantine.admit(call.key, trial_id, 0.0, len(up) < 2)
             is_trial = run_at_once(admission)
         except AcaciarillError as error:
             call.refused += 1
