Read the software version of upstreams, and which stream a client takes up

A registration's version was read nowhere, so no line told which software sent which part of a stream. upstream:added, request:attempt_failed of streams and item:attempt name it now, and request:completed the request whose stream was taken up. Nothing is decided by this yet.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -241,6 +241,7 @@
                 request=item.id,
                 upstream=state.upstream.id,
                 version=state.newest_version(self.submission.model),
+                software_version=state.upstream.software_version,
                 status=status,
                 reason=reason,
                 last_event=text.last_event_id,
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -40,7 +40,8 @@
 
     `deadline` is on the daemon's clock. Only a metered request is counted as usage. No client waits
     for the response of a background request, which waits for no permit ahead of clients' requests.
-    `server_error_count` counts the responses with status 500.
+    `server_error_count` counts the responses with status 500. `is_resumption` says that the client
+    takes up a stream; `resumed_id` names the request that brought its first event, if it does.
     """
 
     id: str
@@ -57,6 +58,8 @@
     attempted_upstreams: list[str] = field(default_factory=list)
     may_have_run: bool = False
     server_error_count: int = 0
+    is_resumption: bool = False
+    resumed_id: str = ""
     cached_key: str = ""
 
     @property
--- a/acaciarill/fleet/_model.py
+++ b/acaciarill/fleet/_model.py
@@ -128,6 +128,8 @@
     """Describe one lifetime of an upstream, from its registration until it restarts.
 
     `versions` maps a model to its loaded weight version. `cheap` marks a spot upstream.
+    Upstreams of several software versions may serve side by side; a stream that one of them began
+    continues only at others of the same version.
     """
 
     id: str
@@ -139,6 +141,7 @@
     draining: bool = False
     versions: dict[str, int] = field(default_factory=dict)
     cheap: bool = False
+    software_version: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -68,6 +68,7 @@
                     request_key=request.key,
                     attempt=len(request.attempted_upstreams),
                     upstream=state.upstream.id,
+                    software_version=state.upstream.software_version,
                     reason=str(error) or "deadline exceeded",
                     last_event=progress.last_event_id,
                 )
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -168,6 +168,7 @@
                     upstream=upstream_id,
                     service=upstream.service,
                     data_centre=upstream.data_centre,
+                    software_version=upstream.software_version,
                 )
                 continue
             if upstream.draining and not state.upstream.draining:
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -152,6 +152,7 @@
                 for model in models
             },
             cheap=bool(value.get("spot", False)),
+            software_version=_require_string(value["version"]),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         log_message(message_type="upstream:unreadable", entry=record.name, reason=repr(error))
--- a/acaciarill/platform/_request_handler.py
+++ b/acaciarill/platform/_request_handler.py
@@ -15,7 +15,9 @@
     AUTHORIZATION_SCHEME,
     HEADER_AUTHORIZATION,
     HEADER_DEADLINE_MS,
+    HEADER_LAST_EVENT_ID,
     HEADER_REQUEST_ID,
+    HEADER_RESUMED_ID,
     HEADER_WAIT_MS,
     MAX_RESULT_WAIT_MS,
     PATH_BATCHES,
@@ -151,6 +153,7 @@
             head.status,
             route=route.name,
             attempted_upstreams=forwarded_request.attempted_upstreams,
+            resumed_request=forwarded_request.resumed_id or None,
         )
         await responder.finish()
         return head.status
@@ -166,6 +169,8 @@
             route.choose_service(self.forwarder.rng.random()),
             customer,
             request.received_at + self._timeout_s(request, route),
+            is_resumption=bool(request.get(HEADER_LAST_EVENT_ID) or request.get(HEADER_RESUMED_ID)),
+            resumed_id=request.get(HEADER_RESUMED_ID),
         )
 
     def _timeout_s(self, request: Request, route: Route) -> float:
--- a/acaciarill/platform/const.py
+++ b/acaciarill/platform/const.py
@@ -32,6 +32,8 @@
 
 HEADER_LENGTH_HINT = "x-acaciarill-length-hint"
 HEADER_LAST_EVENT_ID = b"last-event-id"
+HEADER_RESUMED_ID = b"resumes"
+"""Names the request that brought the first event of the stream that a client takes up."""
 HEADER_AUTHORIZATION = b"authorization"
 AUTHORIZATION_SCHEME = "bearer "
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -190,6 +190,8 @@
         self.response_delay_s = 0.0
         self.request_times: list[float] = []
         self.born = 1
+        self.software_version = "v1"
+        self.marks_events = False
 
     def register(self, state: str = "ready") -> None:
         """Write the replica's entry to the store, as a real replica does."""
@@ -198,6 +200,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
+            "version": self.software_version,
             "slots": 4,
             "state": state,
             "models": models,
@@ -272,7 +275,8 @@
             await anyio.sleep(0.1)
         for event_id in range(int(after) + 1 if after else 0, self.event_count):
             await anyio.sleep(self.event_interval_s)
-            await responder.send(f"id: {event_id}\ndata: {item_id}-{event_id}\n\n".encode())
+            mark = f"@{self.software_version}" if self.marks_events else ""
+            await responder.send(f"id: {event_id}\ndata: {item_id}-{event_id}{mark}\n\n".encode())
         await responder.finish()
 
 
@@ -348,6 +352,14 @@
             "result_deadline_ms": 7500,
             "max_queue_s": 40,
         },
+        common
+        | {
+            "name": "stream",
+            "path_prefix": "/g/",
+            "kind": "stream",
+            "service": "llm",
+            "resumable": True,
+        },
     ]
     for route in routes:
         route["max_attempts"] = 3
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -58,6 +58,7 @@
     "service": "x",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1",
     "slots": 8,
     "state": "ready",
     "models": [{"name": "m", "version": 3, "adapters": []}],
@@ -95,7 +96,17 @@
     def test_decodes_every_field(self) -> None:
         decoded = decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY))
         self.assertEqual(
-            decoded, Upstream("i-1", "i-1/17", "x", "10.0.0.1:80", "a", 8, versions={"m": 3})
+            decoded,
+            Upstream(
+                "i-1",
+                "i-1/17",
+                "x",
+                "10.0.0.1:80",
+                "a",
+                8,
+                versions={"m": 3},
+                software_version="v1",
+            ),
         )
 
     def test_restart_with_same_id_changes_lifetime(self) -> None:
@@ -105,7 +116,7 @@
 
     @settings(max_examples=80, derandomize=True)
     @given(
-        st.sampled_from(["service", "address", "zone", "slots", "state", "models"]),
+        st.sampled_from(["service", "address", "zone", "slots", "state", "models", "version"]),
         st.one_of(st.none(), st.integers(), st.booleans(), st.lists(st.integers(), min_size=1)),
     )
     def test_field_of_wrong_type_is_rejected(self, field: str, value: object) -> None:
@@ -116,7 +127,7 @@
         self.assertIsNone(decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {field: value})))
 
     def test_missing_field_and_unknown_state_are_rejected(self) -> None:
-        for field in ("service", "address", "zone", "slots", "state"):
+        for field in ("service", "address", "zone", "slots", "state", "version"):
             value = {key: item for key, item in UPSTREAM_ENTRY.items() if key != field}
             self.assertIsNone(decode_upstream(Record("i-1", 2, value)))
         self.assertIsNone(decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {"state": "odd"})))
