Continue streams only at the software version that began them

Cause: a registration's software version was not part of any decision. Class: a fact about a piece of work (who began it) was known only where it happened, and not kept for those who go on with it; saved texts and take-ups had the same gap.

Now the daemon that passes on a first event records the version and tells two other daemons, one of them without clients. Take-ups find it there; what nobody knows, and what no upstream of its version can go on with, is rejected at once as not run. Texts of items hold their version through saves and moves, and begin anew where they cannot go on.

Why it works: a stream of two versions needs a decision to send its rest somewhere else, and the three places that make one (stream forwarder, batch runner, slow-stream moves) now compare versions.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -29,6 +29,7 @@
     FULL_RETRY_DELAY_S,
     MAX_APPEND_DELAY_S,
     MIN_ATTEMPT_S,
+    MIN_CHECKPOINT_EVENTS,
     REQUEST_ID_PLACEHOLDER,
     ROUTE_POLL_PERIOD_S,
     SCORE_RETRY_DELAY_S,
@@ -232,6 +233,7 @@
             started = self.ports.clock()
             async with self.ports.scheduler.acquire_slot(slot_request) as state:
                 waited = self.ports.clock() - started
+                self._clear_other_software(item, text, state)
                 status, reason = await self._attempt(item, route, text, state)
             if reason == STOP_LIMITED:
                 continue
@@ -261,6 +263,21 @@
                 delay_s = FULL_RETRY_DELAY_S if reason == "not run" else FAILED_RETRY_DELAY_S
                 await anyio.sleep(delay_s)
 
+    def _clear_other_software(self, item: Item, text: GeneratedText, state: UpstreamState) -> None:
+        """Begin a text anew if the engine has another software version, which cannot resume it."""
+        software_version = state.upstream.software_version
+        if not text.events or text.software_version == software_version:
+            return
+        log_message(
+            message_type="item:begun_anew",
+            batch=self.batch_id,
+            request=item.id,
+            events=len(text.events),
+            previous_software_version=text.software_version,
+            software_version=software_version,
+        )
+        text.clear()
+
     def _slot_request(
         self,
         item: Item,
@@ -279,6 +296,8 @@
             item.group,
             exact_version,
             avoided_upstream,
+            text.software_version if text.events else None,
+            len(text.events) < MIN_CHECKPOINT_EVENTS,
         )
 
     async def _attempt(
@@ -356,6 +375,8 @@
                     if text.last_event_id is not None and event.id != text.last_event_id + 1:
                         return head.status, "event id is not consecutive"
                     text.append_event(event.id, event.data, version)
+                    text.software_version = upstream.software_version
+                    stream.slot_request.software_version = upstream.software_version
                     stream.record_event(ports.clock())
         state.record_success()
         return STATUS_OK, ""
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -41,7 +41,8 @@
     """Describe the engine that an item needs; the request with the lowest `rank` is served first.
 
     The engine must serve at least `min_version` of the model, and `exact_version` if the item
-    resumes a text whose route allows a single version.
+    resumes a text whose route allows a single version. An item resumes a text only at engines of
+    its `software_version`; if `may_begin_anew`, it need not wait for one of them.
     """
 
     service: str
@@ -51,6 +52,8 @@
     group: str
     exact_version: int | None = None
     avoided_upstream: str = ""
+    software_version: str | None = None
+    may_begin_anew: bool = False
 
 
 @dataclass(slots=True)
@@ -177,7 +180,14 @@
             return STOP_STALLED
         if idle_s < SOFT_STALL_TIMEOUT_S and not self._may_be_faster_elsewhere(stream, now):
             return ""
-        states = self._states_with_free_slots(stream.slot_request.service, now, claimed_slots)
+        software_version = stream.slot_request.software_version
+        states = [
+            state
+            for state in self._states_with_free_slots(
+                stream.slot_request.service, now, claimed_slots
+            )
+            if software_version in (None, state.upstream.software_version)
+        ]
         alternative = self._choose_upstream(stream.slot_request, states, now)
         if alternative is None or alternative is stream.state:
             return ""
@@ -238,17 +248,30 @@
             and state.free_slots(now) > claimed_slots.get(state.upstream.id, 0)
         ]
 
+    def _may_begin_anew(self, slot_request: SlotRequest, now: float) -> bool:
+        """Return whether an item may use engines that cannot resume its text."""
+        return slot_request.may_begin_anew or not any(
+            state.is_usable(now)
+            and _has_same_software(slot_request, state)
+            and _has_required_version(slot_request, state)
+            for state in self.table.states_for(slot_request.service)
+        )
+
     def _choose_upstream(
         self, slot_request: SlotRequest, states: list[UpstreamState], now: float
     ) -> UpstreamState | None:
         """Return the preferred one of some engines with a free slot, or None.
 
-        The avoided engine is used only if no other has a free slot. Engines that are not slow come
+        Engines that can resume the item's text come first, then others if it may begin anew. The
+        avoided engine is used only if no other has a free slot. Engines that are not slow come
         first, then the group's last engine, which has processed the group's prompt, unless it is
         more loaded than others, then the engines with the lowest load, then those of this data
         centre.
         """
         available = [state for state in states if _has_required_version(slot_request, state)]
+        same_software = [state for state in available if _has_same_software(slot_request, state)]
+        if same_software or not self._may_begin_anew(slot_request, now):
+            available = same_software
         if not available:
             return None
         candidates = [
@@ -276,6 +299,10 @@
     return interval_s > SLOW_ENGINE_FACTOR * fastest_interval_s
 
 
+def _has_same_software(slot_request: SlotRequest, state: UpstreamState) -> bool:
+    return slot_request.software_version in (None, state.upstream.software_version)
+
+
 def _has_required_version(slot_request: SlotRequest, state: UpstreamState) -> bool:
     version = state.newest_version(slot_request.model)
     if version is None:
--- a/acaciarill/batches/_texts.py
+++ b/acaciarill/batches/_texts.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 import orjson
 
@@ -12,14 +13,21 @@
 MAX_CACHED_TEXTS = 2000
 """Limit of cached texts, and of cached results: about ten open batches with items of 10 KB."""
 
+ROW_LENGTH = 4
+"""Length of a text's row for another daemon."""
+
 
 @dataclass(slots=True)
 class GeneratedText:
-    """Hold the events that have been generated for one item."""
+    """Hold the events that have been generated for one item.
+
+    They all come from engines of one software version.
+    """
 
     events: list[str] = field(default_factory=list)
     last_event_id: int | None = None
     versions: list[int] = field(default_factory=list)
+    software_version: str = ""
 
     def append_event(self, event_id: int, data: str, version: int) -> None:
         """Append an event that an engine generated with a weight version."""
@@ -31,6 +39,11 @@
     def clear(self) -> None:
         """Drop all events, so that the item is generated from its start."""
         self.events, self.last_event_id, self.versions = [], None, []
+        self.software_version = ""
+
+    def as_row(self) -> list[Any]:
+        """Return the text as a row for another daemon."""
+        return [self.events, self.last_event_id, self.versions, self.software_version]
 
     def has_allowed_versions(self, min_version: int, single_version: bool) -> bool:
         """Return whether a batch with these version limits may use the text."""
@@ -75,7 +88,7 @@
     def encode(self, items: Iterable[Item]) -> bytes:
         """Encode the unfinished texts of some items for another daemon."""
         rows = [
-            (item.id, text.events, text.last_event_id, text.versions)
+            (item.id, *text.as_row())
             for item in items
             if (text := self.texts.get(item.id)) is not None and text.events
         ]
@@ -90,16 +103,22 @@
             remaining -= sum(map(len, text.events))
             if len(text.events) < MIN_CHECKPOINT_EVENTS or remaining < 0:
                 break
-            rows.append((item_id, text.events, text.last_event_id, text.versions))
+            rows.append((item_id, *text.as_row()))
         return orjson.dumps(rows)
 
     def merge_encoded(self, data: bytes) -> set[str]:
-        """Add encoded texts that are longer than the cached ones; return the ids of their items."""
+        """Add encoded texts that are longer than the cached ones; return the ids of their items.
+
+        A text whose software version is not known cannot be resumed.
+        """
         merged = set()
-        for item_id, events, last_event_id, versions in orjson.loads(data):
+        for item_id, *row in orjson.loads(data):
+            if len(row) < ROW_LENGTH:
+                continue  # saved by a daemon that did not know software versions
+            text = GeneratedText(*row[:ROW_LENGTH])
             current = self.texts.get(item_id)
-            if current is None or len(current.events) < len(events):
-                self.texts[item_id] = GeneratedText(events, last_event_id, versions)
+            if current is None or len(current.events) < len(text.events):
+                self.texts[item_id] = text
                 merged.add(item_id)
         return merged
 
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -22,6 +22,7 @@
 from ._quarantine import REQUEST_QUARANTINED, Quarantine, TrialGrant
 from ._rate_limits import Permit, RateLimit
 from ._store_channel import StoreChannel
+from ._stream_versions import StreamVersions
 from ._streaming import StreamForwarder
 from ._upstreams import UpstreamState, UpstreamTable
 
@@ -53,6 +54,7 @@
     "Service",
     "StoreChannel",
     "StreamForwarder",
+    "StreamVersions",
     "Upstream",
     "UpstreamCodec",
     "UpstreamState",
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -9,12 +9,22 @@
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
+from ._stream_versions import StreamVersions
 from ._upstreams import UpstreamState
-from .const import DEADLINE_RESERVE_S, RETRY_AFTER_MIN_S
+from .const import (
+    DEADLINE_RESERVE_S,
+    LOOKUP_PATIENCE_FACTOR,
+    RETRY_AFTER_MIN_S,
+    STREAM_AGE_FACTOR,
+    STREAM_AGE_MIN_S,
+)
 
 EVENT_END = b"\n\n"
 STATUS_OK = 200
 
+STREAM_UNKNOWN = "stream-unknown"
+"""Code of the error for a stream that cannot be taken up, as nobody knows its software version."""
+
 StartResponse = Callable[[ResponseHead], Awaitable[None]]
 SendChunk = Callable[[bytes], Awaitable[None]]
 ParseEventId = Callable[[bytes], int | None]
@@ -22,11 +32,24 @@
 
 
 class StreamForwarder:
-    """Forward requests whose responses are streams of events."""
+    """Forward requests whose responses are streams of events.
+
+    A stream goes on only at upstreams of the software version that began it, also if its client
+    takes it up at another daemon. `upstreams_confirmed` returns whether the list of upstreams is up
+    to date.
+    """
 
-    def __init__(self, forwarder: Forwarder, parse_event_id: ParseEventId) -> None:
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        parse_event_id: ParseEventId,
+        stream_versions: StreamVersions | None = None,
+        upstreams_confirmed: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.forwarder = forwarder
         self.parse_event_id = parse_event_id
+        self.stream_versions = stream_versions
+        self.upstreams_confirmed = upstreams_confirmed
 
     async def forward(
         self, request: ForwardedRequest, start: StartResponse, send: SendChunk
@@ -38,9 +61,12 @@
         """
         last_event_id: int | None = None
         head: ResponseHead | None = None
+        software_version = await self._find_version(request) if request.is_resumption else None
         while len(request.attempted_upstreams) < max(1, request.route.max_attempts):
             remaining_s = request.deadline - self.forwarder.clock() - DEADLINE_RESERVE_S
-            state = self.forwarder.table.choose(request.service, request.attempted_upstreams)
+            state = self.forwarder.table.choose(
+                request.service, request.attempted_upstreams, software_version
+            )
             if remaining_s <= 0 or state is None:
                 break
             on_sent = await self.forwarder.admit(request)
@@ -77,6 +103,8 @@
                 if isinstance(error, UpstreamError):
                     await self.forwarder.record_failure(request, state, error)
                 last_event_id, head = progress.last_event_id, progress.head
+                if progress.has_events:
+                    software_version = state.upstream.software_version
                 started = head is not None
                 if (
                     not not_run
@@ -90,6 +118,35 @@
             "no upstream accepted the stream", step=Step.ADMIT, retry_after_s=RETRY_AFTER_MIN_S
         )
 
+    async def _find_version(self, request: ForwardedRequest) -> str:
+        """Return the software version that began a stream; raise RefusedError if nobody knows."""
+        software_version = None
+        if self.stream_versions is not None and request.resumed_id:
+            max_wait_s = LOOKUP_PATIENCE_FACTOR * (request.deadline - self.forwarder.clock())
+            software_version = await self.stream_versions.find(request.resumed_id, max_wait_s)
+        if software_version is None and self.upstreams_confirmed():
+            age_s = max(STREAM_AGE_MIN_S, STREAM_AGE_FACTOR * request.route.timeout_s)
+            software_version = self.forwarder.table.only_software_version(request.service, age_s)
+        log_message(
+            message_type="stream:taken_up",
+            request=request.id,
+            resumed_request=request.resumed_id,
+            software_version=software_version,
+        )
+        if software_version is None:
+            raise RefusedError(
+                "no daemon knows which software version began the stream",
+                step=Step.ROUTE,
+                code=STREAM_UNKNOWN,
+            )
+        return software_version
+
+    def _record_begun(self, request: ForwardedRequest, state: UpstreamState) -> None:
+        """Record which software version began a stream, before its client has an event of it."""
+        stream_id = request.resumed_id if request.is_resumption else request.id
+        if self.stream_versions is not None and request.route.resumable and stream_id:
+            self.stream_versions.record(stream_id, state.upstream.software_version)
+
     async def _attempt(
         self,
         request: ForwardedRequest,
@@ -142,6 +199,9 @@
                     *complete, partial = (partial + chunk).split(EVENT_END)
                     check_event_size(partial)
                     for event in complete:
+                        if not progress.has_events:
+                            progress.has_events = True
+                            self._record_begun(request, state)
                         progress.record_event_id(self.parse_event_id(event))
                         await send(event + EVENT_END)
                 if partial:
@@ -160,6 +220,7 @@
     def __init__(self, last_event_id: int | None, head: ResponseHead | None) -> None:
         self.last_event_id = last_event_id
         self.head = head
+        self.has_events = last_event_id is not None
 
     def record_event_id(self, event_id: int | None) -> None:
         if event_id is not None:
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 
 from ._model import LoadReport, Upstream
+from ._version_history import VersionHistory
 from .const import (
     DEREGISTERED_STATE_TTL_S,
     EJECTION_BASE_S,
@@ -142,6 +143,7 @@
         self.by_service: dict[str, list[UpstreamState]] = {}
         self.deregistered_states: dict[str, tuple[UpstreamState, float]] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.version_history = VersionHistory()
 
     def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
         """Call the listener after each change; return the unsubscribe function."""
@@ -153,6 +155,7 @@
 
         An upstream whose registration returns in the same lifetime keeps its state.
         """
+        self._observe_versions()  # those that go away now have served until now
         registered = {upstream.id: upstream for upstream in upstreams}
         for upstream_id in self.states.keys() - registered.keys():
             self._deregister(upstream_id)
@@ -177,8 +180,20 @@
         self.by_service = {}
         for state in self.states.values():
             self.by_service.setdefault(state.upstream.service, []).append(state)
+        self._observe_versions()
         self.notify_listeners()
 
+    def _observe_versions(self) -> None:
+        upstreams = [state.upstream for state in self.states.values()]
+        self.version_history.observe(
+            ((upstream.service, upstream.software_version) for upstream in upstreams), self.clock()
+        )
+
+    def only_software_version(self, service: str, period_s: float) -> str | None:
+        """Return the only software version that served in a past period, or None if not known."""
+        self._observe_versions()
+        return self.version_history.only_version(service, self.clock(), period_s)
+
     def _deregister(self, upstream_id: str) -> None:
         state = self.states.pop(upstream_id)
         state.deregistered = True
@@ -217,13 +232,24 @@
             state.observed_versions[model] = version
             self.notify_listeners()
 
-    def choose(self, service: str, excluded: Collection[str] = ()) -> UpstreamState | None:
+    def choose(
+        self,
+        service: str,
+        excluded: Collection[str] = (),
+        software_version: str | None = None,
+    ) -> UpstreamState | None:
         """Return the least loaded upstream, or None if all are excluded or draining.
 
-        If the rate limits of all allow no request now, it is the one whose permit falls due first.
+        Only upstreams of the software version are considered, if one is given. If the rate limits
+        of all allow no request now, it is the one whose permit falls due first.
         """
         now = self.clock()
-        states = [state for state in self.states_for(service) if state.upstream.id not in excluded]
+        states = [
+            state
+            for state in self.states_for(service)
+            if state.upstream.id not in excluded
+            and software_version in (None, state.upstream.software_version)
+        ]
         usable = [state for state in states if state.is_usable(now)]
         if not usable:
             # All upstreams are ejected: an attempt may succeed, a refusal never does.
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -110,3 +110,18 @@
 COMPLETED_RECORD_TTL_S = 60.0
 """How long the completion of a request overrides older reports of crashes that arrive late."""
 MAX_CRASH_RECORDS = 1000
+
+STREAM_VERSION_TTL_S = 300.0
+"""How long it is known which software version began a stream."""
+MAX_STREAM_VERSIONS = 50_000
+STREAM_HOLDERS_ASKED = 3
+"""How many daemons of each role are asked for a stream; the order may have changed since."""
+STREAM_LOOKUP_TIMEOUT_S = 2.0
+LOOKUP_PATIENCE_FACTOR = 0.5
+"""Share of a request's remaining time for which it waits for the daemons that may know its
+stream."""
+STREAM_AGE_FACTOR = 4.0
+"""Longest time for which clients take up a stream, as a multiple of its route's timeout."""
+STREAM_AGE_MIN_S = 30.0
+VIEW_CONFIRMED_WITHIN_S = 3.0
+"""A list of upstreams that was confirmed longer ago may lack a software version."""
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -26,6 +26,7 @@
     Quarantine,
     RatePermits,
     StoreChannel,
+    StreamVersions,
     UpstreamTable,
 )
 from ..fleet.const import (
@@ -165,6 +166,14 @@
             crash_detector,
             self.quarantine,
         )
+        self.stream_versions = StreamVersions(
+            self.members,
+            self.peers.tell_stream_begun,
+            self.peers.find_stream,
+            self.clock,
+            self.metrics.count_stream_lookup,
+        )
+        self.peers.stream_versions = self.stream_versions
         self.scheduler = EngineScheduler(self.table, self.clock)
         runner = RunnerPorts(
             sender,
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -55,6 +55,13 @@
             registry=self.registry,
         )
 
+        self.stream_lookups = Counter(
+            "acaciarill_streams_taken_up",
+            "Streams that clients took up, by whether it was known which version began them",
+            ["outcome"],
+            registry=self.registry,
+        )
+
     def count_crash(self) -> None:
         """Count a request that was running at an upstream when it crashed."""
         self.crashes.inc()
@@ -63,6 +70,10 @@
         """Count one request that may run only as a trial, by what was decided."""
         self.quarantine.labels(outcome).inc()
 
+    def count_stream_lookup(self, outcome: str) -> None:
+        """Count one stream that a client took up."""
+        self.stream_lookups.labels(outcome).inc()
+
     def count_permit(self, outcome: str) -> None:
         """Count one request for a permit."""
         self.permits.labels(outcome).inc()
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -7,6 +7,7 @@
 from ..batches.const import KIND_HEADS
 from ..control import FleetDemand
 from ..fleet import ROLE_FRONT, Configuration, Member, Members, Upstream, UpstreamTable
+from ..fleet.const import VIEW_CONFIRMED_WITHIN_S
 from ..mirrors import KindSource, Mirror, MirrorFollower
 from ..mirrors.const import (
     LISTING_RETRY_DELAY_FRONT_S,
@@ -143,6 +144,11 @@
         last_outage_at = self.followers[self.ports.kinds.upstreams].last_outage_at()
         return now if last_outage_at is None else max(now, last_outage_at + OUTAGE_ENTRY_GRACE_S)
 
+    def is_upstream_list_confirmed(self) -> bool:
+        """Return whether the list of upstreams was known to be up to date a moment ago."""
+        follower = self.followers[self.ports.kinds.upstreams]
+        return follower.is_following and follower.unconfirmed_for_s() <= VIEW_CONFIRMED_WITHIN_S
+
     def expire_missing_upstreams(self) -> None:
         """Remove the upstreams whose entries are missing for longer than their grace period."""
         if any(
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -19,10 +19,16 @@
     RateLimit,
     RatePermits,
     StoreChannel,
+    StreamVersions,
     TrialGrant,
     UpstreamTable,
 )
-from ..fleet.const import PERMIT_TIMEOUT_S, PING_TIMEOUT_S, VIEW_FETCH_DELAY_S
+from ..fleet.const import (
+    PERMIT_TIMEOUT_S,
+    PING_TIMEOUT_S,
+    STREAM_LOOKUP_TIMEOUT_S,
+    VIEW_FETCH_DELAY_S,
+)
 from ..mirrors import Mirror, MirrorFollower, Record
 from ..peers import PeerLinks, PeerServer, messages
 from ..peers.const import PROTOCOL_VERSION
@@ -60,6 +66,7 @@
         self.table: UpstreamTable | None = None
         self.permits: RatePermits | None = None
         self.quarantine: Quarantine | None = None
+        self.stream_versions: StreamVersions | None = None
         self.fetching_crashes_from: set[str] = set()
         self.fetching_kinds: set[str] = set()
         own = members.own
@@ -85,6 +92,8 @@
             "crash_records": self._on_crash_records,
             "fetch_crashes": self._on_fetch_crashes,
             "take_trial": self._on_take_trial,
+            "stream_begun": self._on_stream_begun,
+            "find_stream": self._on_find_stream,
             "watch_views": MirrorServer(followers, members.clock).on_watch_views,
         }
 
@@ -430,6 +439,37 @@
             )
         }
 
+    # Streams
+
+    def tell_stream_begun(self, holder: str, stream: str, software_version: str) -> None:
+        """Tell a daemon which software version began a stream; do not wait."""
+        call = messages.StreamBegun(stream=stream, software_version=software_version)
+        self.task_group.start_soon(self._send_stream_begun, holder, call)
+
+    async def _send_stream_begun(self, holder: str, call: messages.StreamBegun) -> None:
+        address = self.members.by_name[holder].address
+        try:
+            await self.links.call(address, PING_TIMEOUT_S, stream_begun=call)
+        except PeerError as error:
+            log_message(message_type="streams:tell_failed", peer=address, reason=error.message)
+
+    async def _on_stream_begun(self, call: messages.StreamBegun) -> dict[str, messages.Done]:
+        if self.stream_versions is not None:
+            self.stream_versions.store(call.stream, call.software_version)
+        return {"done": messages.Done()}
+
+    async def find_stream(self, holder: str, stream: str) -> str | None:
+        """Ask a daemon which software version began a stream; raise PeerError."""
+        call = messages.FindStream(stream=stream)
+        address = self.members.by_name[holder].address
+        frame = await self.links.call(address, STREAM_LOOKUP_TIMEOUT_S, find_stream=call)
+        return frame.found_stream.software_version
+
+    async def _on_find_stream(self, call: messages.FindStream) -> dict[str, messages.FoundStream]:
+        versions = self.stream_versions
+        software_version = versions.get(call.stream) if versions is not None else None
+        return {"found_stream": messages.FoundStream(software_version=software_version)}
+
     # Usage
 
     async def collect_usage(self, window: int) -> dict[str, dict[int, dict[str, int]]]:
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -350,6 +350,23 @@
   2: optional double retry_after_s,
 }
 
+// Tells which software version of a service began a stream; `stream` is the id of the request that
+// brought its first event.
+struct StreamBegun {
+  1: string stream,
+  2: string software_version,
+}
+
+// Asks which software version began a stream.
+struct FindStream {
+  1: string stream,
+}
+
+// `software_version` is missing if the sender does not know the stream.
+struct FoundStream {
+  1: optional string software_version,
+}
+
 // Confirms a call whose response has no contents.
 struct Done {
 }
@@ -405,6 +422,9 @@
   39: optional FetchCrashes fetch_crashes,
   40: optional TakeTrial take_trial,
   41: optional IssuedTrial issued_trial,
+  42: optional StreamBegun stream_begun,
+  43: optional FindStream find_stream,
+  44: optional FoundStream found_stream,
 }
 
 // The progress of a consumer of a step. A trainer sends it with each pull, as an opaque string.
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -46,6 +46,8 @@
         return RequestHandler(
             lambda: daemon.configuration,
             daemon.forwarder,
+            daemon.stream_versions,
+            daemon.mirrors.is_upstream_list_confirmed,
             daemon.batch_manager,
             daemon.clock,
             daemon.metrics.observe_request,
--- a/acaciarill/platform/_request_handler.py
+++ b/acaciarill/platform/_request_handler.py
@@ -8,7 +8,15 @@
 from ..batches import BatchManager, ResultPage
 from ..edge import Request, Responder, ResponseHead
 from ..errors import AcaciarillError, BadRequestError, Outcome, RefusedError, Step
-from ..fleet import Configuration, ForwardedRequest, Forwarder, Route, RouteKind, StreamForwarder
+from ..fleet import (
+    Configuration,
+    ForwardedRequest,
+    Forwarder,
+    Route,
+    RouteKind,
+    StreamForwarder,
+    StreamVersions,
+)
 from ._decode import encode_result_page, parse_event_id
 from ._headers import response_headers
 from .const import (
@@ -50,13 +58,17 @@
         self,
         configuration: Callable[[], Configuration | None],
         forwarder: Forwarder,
+        stream_versions: StreamVersions,
+        upstreams_confirmed: Callable[[], bool],
         batch_manager: BatchManager,
         clock: Callable[[], float],
         observe_request: Callable[[str, int, float], None],
     ) -> None:
         self.configuration = configuration
         self.forwarder = forwarder
-        self.stream_forwarder = StreamForwarder(forwarder, parse_event_id)
+        self.stream_forwarder = StreamForwarder(
+            forwarder, parse_event_id, stream_versions, upstreams_confirmed
+        )
         self.batch_manager = batch_manager
         self.clock = clock
         self.observe_request = observe_request
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -72,6 +72,56 @@
         )
         self.assertEqual(assignments, ["g@e2", "g@e2"])
 
+    def register_software(self, **software_versions: str) -> None:
+        self.table.update(
+            [
+                Upstream(
+                    name,
+                    name,
+                    "llm",
+                    "10.0.0.1:1",
+                    "dc",
+                    2,
+                    versions={"a": 1},
+                    software_version=software_version,
+                )
+                for name, software_version in software_versions.items()
+            ]
+        )
+
+    async def test_text_waits_for_an_engine_of_its_software_version(self) -> None:
+        self.register_software(e1="v1", e2="v2")
+        assignments = await self.acquire_slots(
+            [slot_request(group=f"g{n}", software_version="v1") for n in range(3)]
+        )
+        self.assertEqual(assignments, ["g0@e1", "g1@e1"])
+
+    async def test_short_text_begins_anew_where_a_slot_is_free(self) -> None:
+        self.register_software(e1="v1", e2="v2")
+        assignments = await self.acquire_slots(
+            [
+                slot_request(group=f"g{n}", software_version="v1", may_begin_anew=True)
+                for n in range(3)
+            ]
+        )
+        self.assertEqual(assignments, ["g0@e1", "g1@e1", "g2@e2"])
+
+    async def test_text_begins_anew_once_no_engine_of_its_software_version_is_usable(self) -> None:
+        self.register_software(e1="v1", e2="v2")
+        self.table.states["e1"].record_failure(100.0)
+        self.assertEqual(await self.acquire_slots([slot_request(software_version="v1")]), ["g@e2"])
+
+    async def test_stream_is_not_moved_to_an_engine_of_another_software_version(self) -> None:
+        self.register_software(e1="v1", e2="v2")
+        request = slot_request(software_version="v1", may_begin_anew=True)
+        stream = ActiveStream(request, self.table.states["e1"], last_event_at=99.0)
+        self.scheduler.active_streams.append(stream)
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual(stream.stop_reason, "")
+        stream.slot_request.software_version = "v2"
+        self.scheduler.stop_lagging_streams()
+        self.assertEqual(stream.stop_reason, STOP_IDLE)
+
     async def test_slots_are_released_when_block_ends(self) -> None:
         self.register_engines(e1=1)
         await self.acquire_slots([slot_request(), slot_request(), slot_request()])
--- a/tests/batches/test_texts.py
+++ b/tests/batches/test_texts.py
@@ -28,6 +28,24 @@
     def test_text_of_two_versions_is_restarted_for_single_version_route(self) -> None:
         self.assertIsNone(self.cache.resumable_text(item("a"), 1, True).last_event_id)
 
+    # A saved text went on at an engine of another software version.
+    def test_text_keeps_its_software_version_at_another_daemon(self) -> None:
+        self.cache.texts["a"].software_version = "v1"
+        other = TextCache()
+        other.merge_encoded(self.cache.encode([item("a")]))
+        self.assertEqual(other.texts["a"].software_version, "v1")
+
+    def test_text_without_a_software_version_is_not_resumed(self) -> None:
+        merged = self.cache.merge_encoded(b'[["b", ["x", "y"], 1, [4]]]')
+        self.assertEqual(merged, set())
+        self.assertIsNone(self.cache.resumable_text(item("b"), 1, False).last_event_id)
+
+    def test_cleared_text_has_no_software_version(self) -> None:
+        text = self.cache.texts["a"]
+        text.software_version = "v1"
+        text.clear()
+        self.assertEqual(text, GeneratedText())
+
     def test_merge_adds_only_longer_texts(self) -> None:
         data = self.cache.encode([item("a")])
         other = TextCache()
--- /dev/null
+++ b/tests/fleet/test_stream_versions.py
@@ -0,0 +1,134 @@
+"""Test which daemons know the software version that began a stream, without a network."""
+
+import unittest
+
+import anyio
+
+from acaciarill.errors import PeerError, Step
+from acaciarill.fleet import ROLE_FRONT, Member, StreamVersions
+from acaciarill.fleet._version_history import VersionHistory
+from acaciarill.fleet.const import MAX_STREAM_VERSIONS, STREAM_VERSION_TTL_S
+from acaciarill.peers import rendezvous_order
+
+ROLES = {"f1": ROLE_FRONT, "f2": ROLE_FRONT, "f3": ROLE_FRONT, "k1": "keeper", "k2": "keeper"}
+
+
+class FakeMembers:
+    """Name the live daemons and their roles."""
+
+    def __init__(self, name: str, live: set[str]) -> None:
+        self.name = name
+        self.live = live
+        self.by_name = {n: Member(n, n, "dc", role) for n, role in ROLES.items()}
+
+    def live_order(self, key: str) -> list[str]:
+        return rendezvous_order(key, sorted(self.live))
+
+
+class StreamVersionsTest(unittest.IsolatedAsyncioTestCase):
+    """Kill daemons after a stream has begun."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.live = set(ROLES)
+        self.told: list[str] = []
+        self.silent: set[str] = set()
+        self.daemons = {name: self.start(name) for name in ROLES}
+
+    def start(self, name: str) -> StreamVersions:
+        """Start a daemon, or start it again with nothing in memory."""
+        return StreamVersions(
+            FakeMembers(name, self.live),  # type: ignore[arg-type]
+            self.tell,
+            self.ask,
+            lambda: self.now,
+        )
+
+    def tell(self, holder: str, stream_id: str, software_version: str) -> None:
+        self.told.append(holder)
+        self.daemons[holder].store(stream_id, software_version)
+
+    async def ask(self, holder: str, stream_id: str) -> str | None:
+        if holder in self.silent:
+            await anyio.sleep_forever()
+        if holder not in self.live:
+            raise PeerError("unreachable", step=Step.FORWARD)
+        return self.daemons[holder].get(stream_id)
+
+    async def test_stream_is_known_to_two_other_daemons_one_of_them_without_clients(self) -> None:
+        for number in range(50):
+            self.told.clear()
+            self.daemons["f1"].record(f"s{number}", "v1")
+            self.assertEqual(sorted(ROLES[name] for name in self.told), ["front", "keeper"])
+            self.assertNotIn("f1", self.told)
+
+    async def test_any_daemon_finds_it_after_all_with_clients_were_killed(self) -> None:
+        for number in range(50):
+            self.daemons["f1"].record(f"s{number}", "v1")
+        for name in ("f1", "f2", "f3"):
+            self.daemons[name] = self.start(name)
+        for number in range(50):
+            self.assertEqual(await self.daemons["f2"].find(f"s{number}", 1.0), "v1")
+
+    async def test_any_daemon_finds_it_after_one_with_and_one_without_clients_were_lost(
+        self,
+    ) -> None:
+        for lost in (("f1", "k1"), ("f2", "k2"), ("f3", "k1")):
+            self.daemons["f1"].record("s" + "".join(lost), "v1")
+            self.live -= set(lost)
+            asking = next(name for name in ("f3", "f2", "f1") if name in self.live)
+            self.assertEqual(await self.daemons[asking].find("s" + "".join(lost), 1.0), "v1")
+            self.live |= set(lost)
+
+    async def test_silent_daemon_does_not_delay_the_answer_of_another(self) -> None:
+        self.daemons["f1"].record("s1", "v1")
+        self.silent = {"f1", "f2"}
+        with anyio.fail_after(0.5):
+            self.assertEqual(await self.daemons["f3"].find("s1", 10.0), "v1")
+
+    async def test_unknown_stream_is_known_to_be_unknown_at_once(self) -> None:
+        with anyio.fail_after(0.5):
+            self.assertIsNone(await self.daemons["f3"].find("s1", 10.0))
+
+    async def test_wait_for_silent_daemons_is_limited(self) -> None:
+        self.silent = set(ROLES)
+        with anyio.fail_after(0.5):
+            self.assertIsNone(await self.daemons["f3"].find("s1", 0.05))
+
+    async def test_first_record_of_a_stream_counts(self) -> None:
+        self.daemons["f1"].record("s1", "v1")
+        self.daemons["f1"].record("s1", "v2")
+        self.assertEqual(await self.daemons["f2"].find("s1", 1.0), "v1")
+
+    async def test_records_are_forgotten_and_bounded(self) -> None:
+        daemon = self.daemons["f1"]
+        for number in range(MAX_STREAM_VERSIONS + 10):
+            daemon.store(f"s{number}", "v1")
+        self.assertEqual(len(daemon.beginnings), MAX_STREAM_VERSIONS)
+        self.now += STREAM_VERSION_TTL_S + 1.0
+        daemon.store("new", "v1")
+        self.assertEqual(set(daemon.beginnings), {"new"})
+
+
+class VersionHistoryTest(unittest.TestCase):
+    """Tell whether a second version may have served."""
+
+    def test_daemon_that_has_just_started_cannot_tell(self) -> None:
+        history = VersionHistory()
+        history.observe([("s", "v1")], 0.0)
+        self.assertIsNone(history.only_version("s", 29.0, 30.0))
+        self.assertEqual(history.only_version("s", 30.0, 30.0), "v1")
+
+    def test_version_that_left_counts_for_a_while(self) -> None:
+        history = VersionHistory()
+        history.observe([("s", "v1"), ("s", "v2")], 100.0)
+        for now in range(101, 150):
+            history.observe([("s", "v2")], float(now))
+        self.assertIsNone(history.only_version("s", 130.0, 30.0))
+        self.assertEqual(history.only_version("s", 149.0, 30.0), "v2")
+
+    def test_versions_of_other_services_do_not_count(self) -> None:
+        history = VersionHistory()
+        history.observe([("s", "v1"), ("t", "v2")], 0.0)
+        self.assertEqual(history.only_version("s", 30.0, 30.0), "v1")
+        self.assertIsNone(history.only_version("u", 30.0, 30.0))
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -26,6 +26,7 @@
     id: str
     events: list[tuple[int, str]] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
+    errors: list[str] = field(default_factory=list)
     first_attempt: str = ""
     complete: bool = False
 
@@ -75,7 +76,7 @@
                 head = await exchange.read_head()
                 status = head.status
                 if status != 200:
-                    await exchange.read_body()
+                    stream.errors.append((await exchange.read_body()).decode())
                     return
                 partial = b""
                 async for chunk in exchange.chunks():
@@ -194,7 +195,7 @@
             if stream.versions() == {"v1"}:
                 self.assertEqual(stream.statuses[-1], 503)
             else:
-                self.assertTrue(stream.complete)
+                self.assertTrue(stream.complete, (stream.id, stream.statuses, stream.errors))
 
     async def test_streams_that_no_daemon_knows_are_not_joined(self) -> None:
         rng = random.Random(4)
