Send nothing more to an upstream whose responses say that it leaves

A response with the header marks that lifetime as left, like a draining registration does: requests, retries, kept connections, permits, items and moves all ask has_left. A response without the request's id, or from another process at the address (421), does not count. The mark goes with the lifetime, also when a registration goes and returns.

--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -136,6 +136,8 @@
                 if metadata.load is not None:
                     state.record_load_report(metadata.load, self.clock())
                 self._record_rate_limit(state, metadata)
+                if metadata.is_leaving:
+                    state.record_leaving()
                 yield UpstreamResponse(exchange, head, metadata)
         except UpstreamError as error:
             if error.code == CONNECTION_REFUSED:
--- a/acaciarill/fleet/_model.py
+++ b/acaciarill/fleet/_model.py
@@ -159,7 +159,7 @@
 
     `not_run` says that the upstream did not run the request; `server_stamp` proves that it did.
     `rate_limit` is how many requests per second the upstream accepts from all daemons together, or
-    None without a limit.
+    None without a limit. `is_leaving` says that the upstream leaves and must get no new requests.
     """
 
     request_id: str = ""
@@ -168,3 +168,4 @@
     load: LoadReport | None = None
     weight_version: int | None = None
     rate_limit: float | None = None
+    is_leaving: bool = False
--- a/acaciarill/fleet/_upstreams.py
+++ b/acaciarill/fleet/_upstreams.py
@@ -14,6 +14,7 @@
     EJECTION_MAX_S,
     EVENT_INTERVAL_TTL_S,
     EVENT_INTERVAL_WEIGHT,
+    LEAVING_STATE_TTL_S,
     LOAD_REPORT_TTL_S,
     OVERLOAD_BACKOFF_MAX_S,
     OVERLOAD_BACKOFF_S,
@@ -28,6 +29,7 @@
     `rate_limit` is how many requests per second the upstream accepts from all daemons together, or
     None, as its latest response said at `rate_limit_named_at`. `limited_until` is when the next
     permit for a request to it falls due.
+    `is_leaving` says that a response of this lifetime announced that it leaves.
     `observed_versions` are weight versions seen at the engine but not yet in its registration.
     """
 
@@ -40,6 +42,7 @@
     overloaded_until: float = 0.0
     consecutive_rejections: int = 0
     deregistered: bool = False
+    is_leaving: bool = False
     rate_limit: float | None = None
     rate_limit_named_at: float = 0.0
     limited_until: float = 0.0
@@ -63,7 +66,13 @@
 
     def has_left(self) -> bool:
         """Return whether the upstream is leaving or gone and must get no new requests."""
-        return self.deregistered or self.upstream.draining
+        return self.deregistered or self.upstream.draining or self.is_leaving
+
+    def record_leaving(self) -> None:
+        """Record that a response said that the upstream leaves, and log the first time."""
+        if not self.is_leaving:
+            log_message(message_type="upstream:leaving", upstream=self.upstream.id)
+        self.is_leaving = True
 
     def is_usable(self, now: float) -> bool:
         """Return whether the upstream may get new requests."""
@@ -209,9 +218,10 @@
         return state
 
     def _drop_old_states(self) -> None:
-        oldest = self.clock() - DEREGISTERED_STATE_TTL_S
-        for upstream_id, (_, deregistered_at) in list(self.deregistered_states.items()):
-            if deregistered_at < oldest:
+        now = self.clock()
+        for upstream_id, (state, deregistered_at) in list(self.deregistered_states.items()):
+            ttl_s = LEAVING_STATE_TTL_S if state.is_leaving else DEREGISTERED_STATE_TTL_S
+            if deregistered_at < now - ttl_s:
                 del self.deregistered_states[upstream_id]
 
     def notify_listeners(self) -> None:
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -12,6 +12,8 @@
 OVERLOAD_BACKOFF_MAX_S = 0.8
 DEREGISTERED_STATE_TTL_S = 60.0
 """How long the state of an upstream is kept after its registration is gone, as it may return."""
+LEAVING_STATE_TTL_S = 3600.0
+"""The same for an upstream that has said that it leaves: it must get no requests if it returns."""
 LOAD_REPORT_TTL_S = 1.0
 """How long a load report of an upstream is used; the load changes within a second."""
 EVENT_INTERVAL_WEIGHT = 0.2
--- a/acaciarill/platform/_headers.py
+++ b/acaciarill/platform/_headers.py
@@ -11,6 +11,7 @@
     HEADER_EXPECTED_UPSTREAM,
     HEADER_EXPECTED_VERSION,
     HEADER_LAST_EVENT_ID,
+    HEADER_LEAVING,
     HEADER_NOT_RUN,
     HEADER_PRIORITY,
     HEADER_RATE_LIMIT,
@@ -19,6 +20,7 @@
     HEADER_UPSTREAM_LOAD,
     HEADER_WEIGHT_VERSIONS,
     HOP_BY_HOP_HEADERS,
+    LEAVING,
     RESERVED_HEADERS,
 )
 
@@ -67,13 +69,18 @@
 def decode_response(head: ResponseHead) -> ResponseMetadata:
     """Return the metadata in the head of an upstream's response."""
     version = head.get(HEADER_WEIGHT_VERSIONS)
+    request_id = head.get(HEADER_REQUEST_ID) or ""
+    is_misdirected = head.status == STATUS_MISDIRECTED_REQUEST
     return ResponseMetadata(
-        request_id=head.get(HEADER_REQUEST_ID) or "",
-        not_run=head.get(HEADER_NOT_RUN) is not None or head.status == STATUS_MISDIRECTED_REQUEST,
+        request_id=request_id,
+        not_run=head.get(HEADER_NOT_RUN) is not None or is_misdirected,
         server_stamp=head.get(HEADER_SERVER_STAMP) or "",
         load=_decode_load(head.get(HEADER_UPSTREAM_LOAD)),
         weight_version=int(version) if version and version.isdigit() else None,
         rate_limit=_decode_rate_limit(head.get(HEADER_RATE_LIMIT)),
+        is_leaving=(
+            head.get(HEADER_LEAVING) == LEAVING and bool(request_id) and not is_misdirected
+        ),
     )
 
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -192,6 +192,7 @@
         self.born = 1
         self.software_version = "v1"
         self.marks_events = False
+        self.leaving = False
 
     def register(self, state: str = "ready") -> None:
         """Write the replica's entry to the store, as a real replica does."""
@@ -240,6 +241,8 @@
         ]
         if self.rate_limit:
             headers.append((b"Server-Limit", self.rate_limit.encode()))
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
         return headers
 
     def _report(self) -> dict[str, Any]:
