Tell the issuer of a trial which crashes the asking daemon knows of

Found by reading, shown by a test: an issuer that had just started, or had been cut off, knew of no crash under the request and granted every trial that it was asked for. The daemon that asks now sends its records of the request along, and the issuer merges them before it decides.

--- a/acaciarill/fleet/_quarantine.py
+++ b/acaciarill/fleet/_quarantine.py
@@ -3,7 +3,7 @@
 All daemons share what they see. No daemon is elected, and none holds state that others lack.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import anyio
@@ -27,9 +27,9 @@
     retry_after_s: float | None = None
 
 
-CallTrialIssuer = Callable[[str, str, str], Awaitable[TrialGrant]]
-"""Ask a daemon, by its name, for a trial of the request with a key in the attempt with an id; raise
-PeerError."""
+CallTrialIssuer = Callable[[str, str, str, bytes], Awaitable[TrialGrant]]
+"""Ask a daemon, by its name, for a trial of the request with a key in the attempt with an id, and
+tell it the encoded records of that request; raise PeerError."""
 
 
 class Quarantine:
@@ -128,7 +128,7 @@
             grant = await self.issuers.ask(
                 key,
                 lambda: self.issue_trial(key, attempt_id),
-                lambda name: self.call_issuer(name, key, attempt_id),
+                lambda name: self.call_issuer(name, key, attempt_id, self.encode([key])),
             )
             if grant is None:
                 grant = TrialGrant(False, ISSUER_BACKOFF_S)
@@ -172,10 +172,11 @@
         """Return a checksum of all crashes and trials, 0 for none."""
         return digest_records(self.records) if self.records else 0
 
-    def encode(self) -> bytes:
-        """Encode all records for another daemon."""
+    def encode(self, keys: Iterable[str] | None = None) -> bytes:
+        """Encode the records of some requests, or all records, for another daemon."""
         now = self.clock()
-        return orjson.dumps({key: record.as_row(now) for key, record in self.records.items()})
+        encoded_keys = self.records if keys is None else keys
+        return orjson.dumps({key: self.records[key].as_row(now) for key in encoded_keys})
 
     def merge(self, data: bytes) -> None:
         """Add the records of another daemon."""
@@ -195,7 +196,7 @@
         self._drop_records()
 
     def _share(self, key: str) -> None:
-        self.share(orjson.dumps({key: self.records[key].as_row(self.clock())}))
+        self.share(self.encode([key]))
 
     def _drop_records(self) -> None:
         """Forget records that have expired and, beyond the limit, those with the least to tell."""
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -420,9 +420,11 @@
                 return
             await anyio.sleep(CRASH_FETCH_RETRY_DELAY_S)
 
-    async def take_trial(self, issuer: str, key: str, attempt_id: str) -> TrialGrant:
+    async def take_trial(
+        self, issuer: str, key: str, attempt_id: str, records: bytes
+    ) -> TrialGrant:
         """Ask a daemon for a trial of a request; raise PeerError."""
-        call = messages.TakeTrial(request_key=key, attempt_id=attempt_id)
+        call = messages.TakeTrial(request_key=key, attempt_id=attempt_id, records=records)
         address = self.members.by_name[issuer].address
         frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_trial=call)
         return TrialGrant(frame.issued_trial.granted, frame.issued_trial.retry_after_s)
@@ -432,6 +434,7 @@
             raise PeerError(
                 "this daemon issues no trials", step=Step.FORWARD, outcome=Outcome.NOT_RUN
             )
+        self.quarantine.merge(call.records)
         grant = self.quarantine.issue_trial(call.request_key, call.attempt_id)
         return {
             "issued_trial": messages.IssuedTrial(
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -338,10 +338,12 @@
 struct FetchCrashes {
 }
 
-// Requests permission to send a request as a trial after upstreams crashed when it ran.
+// Requests permission to send a request as a trial after upstreams crashed when it ran. `records` are
+// the sender's crash records of that request, which the receiver may lack.
 struct TakeTrial {
   1: string request_key,
   2: string attempt_id,
+  3: binary records,
 }
 
 // `retry_after_s` is missing if no further trial will be granted.
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -43,9 +43,10 @@
     def _build(self, name: str) -> Quarantine:
         members = FakeMembers(name, self.live)
 
-        async def call_issuer(issuer: str, key: str, attempt_id: str) -> TrialGrant:
+        async def call_issuer(issuer: str, key: str, attempt_id: str, records: bytes) -> TrialGrant:
             if self.cut_off & {name, issuer}:
                 raise PeerError("unreachable", step=Step.FORWARD)
+            self.by_name[issuer].merge(records)
             return self.by_name[issuer].issue_trial(key, attempt_id)
 
         return Quarantine(
@@ -198,6 +199,19 @@
             daemons.now += 10.0
             self.assertIsNotNone(await daemons.try_to_send("c", f"r{daemons.now}"))
 
+    # An issuer that had just started granted each trial, as it knew of no crash.
+    async def test_issuer_that_has_just_started_learns_from_the_daemon_that_asks(self) -> None:
+        daemons = Daemons("a", "b", "c")
+        for lifetime in ("u1", "u2", "u3"):
+            daemons.crash("b", lifetime)
+        sent = 0
+        for attempt in range(300):
+            daemons.by_name["a"].records.clear()
+            daemons.by_name["a"].reservations.clear()
+            daemons.now += 0.5
+            sent += await daemons.try_to_send("b", f"r{attempt}") is None
+        self.assertLessEqual(sent, MAX_LATE_RETRIES)
+
     async def test_daemon_that_reaches_no_issuer_does_not_send(self) -> None:
         daemons = Daemons("a", "b", "c")
         daemons.crash("c", "u1")
