Ask several daemons for crash records at once at the start

They were asked one after the other, so one that did not respond used up most of the second that a daemon which starts waits for what others know. No test: the order of messages only.

--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -413,9 +413,14 @@
             addresses = [
                 self.members.by_name[name].address for name in order if name != self.members.name
             ] or [seed for seed in self.seeds if seed != self.members.own.address]
-            answered = [
-                await self._fetch_crashes(address) for address in addresses[:MAX_CRASH_SOURCES]
-            ]
+            answered: list[bool] = []
+
+            async def fetch(address: str, answered: list[bool] = answered) -> None:
+                answered.append(await self._fetch_crashes(address))
+
+            async with anyio.create_task_group() as fetches:
+                for address in addresses[:MAX_CRASH_SOURCES]:
+                    fetches.start_soon(fetch, address)
             if any(answered):
                 return
             await anyio.sleep(CRASH_FETCH_RETRY_DELAY_S)
