Wait at most 0.15 s for the check whether an upstream crashed

The next attempt of a request waits for it, and a silent host held it up for the connect timeout of 0.4 s, more than twice the latency objective of most routes. If the check is not over in time, a refused connection or a registration that goes away later still tells of the crash.

--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -270,11 +270,11 @@
             head = await exchange.read_head()
             return HttpResponse(head, await exchange.read_body())
 
-    async def is_refused(self, address: str) -> bool:
-        """Return whether no process listens at an address."""
+    async def is_refused(self, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
+        """Return whether no process listens at an address; False if that is not known in time."""
         host, port = split_address(address)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            with anyio.fail_after(timeout_s):
                 stream = await anyio.connect_tcp(host, port)
         except (OSError, TimeoutError) as error:
             return _is_refusal(error)
--- a/acaciarill/fleet/_crash_detection.py
+++ b/acaciarill/fleet/_crash_detection.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 
 from ._upstreams import UpstreamState
-from .const import CRASH_DETECTION_S, MAX_SUSPICIONS
+from .const import CRASH_CHECK_TIMEOUT_S, CRASH_DETECTION_S, MAX_SUSPICIONS
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,13 +30,14 @@
     registration is gone or replaced soon after. A request that was abandoned counts if connections
     are refused soon after, since the upstream may have gone on with it. An upstream that has left
     did not crash.
-    `is_refused` returns whether nothing listens at an address. `on_crash` is called with the
+    `is_refused` returns whether nothing listens at an address, if that is known within some seconds.
+    `on_crash` is called with the
     lifetime of the upstream and the key of a request, for each request that ran there.
     """
 
     def __init__(
         self,
-        is_refused: Callable[[str], Awaitable[bool]],
+        is_refused: Callable[[str, float], Awaitable[bool]],
         clock: Callable[[], float],
         on_crash: Callable[[str, str], None],
     ) -> None:
@@ -52,7 +53,7 @@
         lost = _Suspicion(state, request_key, self.clock())
         # The client may have left by now, but the request may come again.
         with anyio.CancelScope(shield=True):
-            refused = await self.is_refused(state.upstream.address)
+            refused = await self.is_refused(state.upstream.address, CRASH_CHECK_TIMEOUT_S)
         if refused or state.deregistered:
             self._report_crash(lost, "refused" if refused else "deregistered")
         else:
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -90,6 +90,8 @@
 DRAIN_MARGIN_S = 0.8
 DRAIN_POLL_S = 0.05
 
+CRASH_CHECK_TIMEOUT_S = 0.15
+"""The next attempt of the request waits for this check."""
 CRASH_DETECTION_S = 6.0
 """How long after a request got no response a refused connection, or a registration that goes away,
 tells of a crash; registrations expire some 3 s after one."""
