--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -138,6 +138,7 @@
                 "no daemon knows which software version began the stream",
                 step=Step.ROUTE,
                 code=STREAM_UNKNOWN,
+                retry_after_s=RETRY_AFTER_MIN_S,
             )
         return software_version
 
