Tell and ask also daemons that have missed a ping which version began a stream

Daemons are told unless they are dead, and all are asked, dead or not: a call to one that is gone fails by itself.

test_daemon_that_seems_lost_is_asked failed before.

--- a/acaciarill/fleet/_stream_versions.py
+++ b/acaciarill/fleet/_stream_versions.py
@@ -4,13 +4,14 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import anyio
 from eliot import log_message
 
 from ..errors import PeerError
+from ..peers import rendezvous_order
 from ._members import ROLE_FRONT, Members
 from .const import (
     MAX_STREAM_VERSIONS,
@@ -60,7 +61,7 @@
         if self.get(stream_id) is not None:
             return
         self.store(stream_id, software_version)
-        for holder in self._holders(stream_id, 1):
+        for holder in self._holders(stream_id, self.members.daemons(), 1):
             self.tell(holder, stream_id, software_version)
 
     def store(self, stream_id: str, software_version: str) -> None:
@@ -88,6 +89,8 @@
             self.on_lookup("known")
             return known
         found: list[str] = []
+        # A daemon that seems lost may be the only one that knows.
+        holders = self._holders(stream_id, self.members.by_name, STREAM_HOLDERS_ASKED)
         with anyio.move_on_after(min(max_wait_s, STREAM_LOOKUP_TIMEOUT_S)):
             async with anyio.create_task_group() as lookups:
 
@@ -103,7 +106,7 @@
                         found.append(software_version)
                         lookups.cancel_scope.cancel()
 
-                for holder in self._holders(stream_id, STREAM_HOLDERS_ASKED):
+                for holder in holders:
                     lookups.start_soon(look_up, holder)
         if not found:
             self.on_lookup("unknown")
@@ -112,12 +115,12 @@
         self.store(stream_id, found[0])
         return found[0]
 
-    def _holders(self, stream_id: str, count: int) -> list[str]:
-        """Return the first live daemons in the stream's rendezvous order, some of each role."""
-        others = [name for name in self.members.live_order(stream_id) if name != self.members.name]
+    def _holders(self, stream_id: str, names: Iterable[str], count: int) -> list[str]:
+        """Return the first other daemons in the stream's rendezvous order, some of each role."""
         by_role: dict[bool, list[str]] = {True: [], False: []}
-        for name in others:
-            by_role[self.members.by_name[name].role == ROLE_FRONT].append(name)
+        for name in rendezvous_order(stream_id, list(names)):
+            if name != self.members.name:
+                by_role[self.members.by_name[name].role == ROLE_FRONT].append(name)
         with_clients, without_clients = by_role[True], by_role[False]
         if not without_clients:
             return with_clients[: 2 * count]
--- a/tests/fleet/test_stream_versions.py
+++ b/tests/fleet/test_stream_versions.py
@@ -8,7 +8,6 @@
 from acaciarill.fleet import ROLE_FRONT, Member, StreamVersions
 from acaciarill.fleet._version_history import VersionHistory
 from acaciarill.fleet.const import MAX_STREAM_VERSIONS, STREAM_VERSION_TTL_S
-from acaciarill.peers import rendezvous_order
 
 ROLES = {"f1": ROLE_FRONT, "f2": ROLE_FRONT, "f3": ROLE_FRONT, "k1": "keeper", "k2": "keeper"}
 
@@ -21,8 +20,8 @@
         self.live = live
         self.by_name = {n: Member(n, n, "dc", role) for n, role in ROLES.items()}
 
-    def live_order(self, key: str) -> list[str]:
-        return rendezvous_order(key, sorted(self.live))
+    def daemons(self) -> list[str]:
+        return sorted(self.live)
 
 
 class StreamVersionsTest(unittest.IsolatedAsyncioTestCase):
@@ -80,6 +79,15 @@
             self.assertEqual(await self.daemons[asking].find("s" + "".join(lost), 1.0), "v1")
             self.live |= set(lost)
 
+    # A daemon that had missed a ping was neither told nor asked, and it was the only one left.
+    async def test_daemon_that_seems_lost_is_asked(self) -> None:
+        self.daemons["f1"].record("s1", "v1")
+        for name in ("f1", "f2", "f3"):
+            self.daemons[name] = self.start(name)
+        members = self.daemons["f2"].members
+        members.live = members.live - {"k1", "k2"}  # type: ignore[attr-defined]
+        self.assertEqual(await self.daemons["f2"].find("s1", 1.0), "v1")
+
     async def test_silent_daemon_does_not_delay_the_answer_of_another(self) -> None:
         self.daemons["f1"].record("s1", "v1")
         self.silent = {"f1", "f2"}
