--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -235,8 +235,8 @@
                 engine.register()
             await fleet.call("f1", "POST", "/b/x", submission(2), id="batch-1")
             for count in range(1, CRASHES_ALLOWED + 1):
-                await wait_until(lambda: any(e.server.active_requests for e in engines))
                 await anyio.sleep(0.15)
+                await wait_until(lambda: any(e.server.active_requests for e in engines))
                 next(e for e in engines if e.server.active_requests).crash()
                 await wait_until(lambda n=count: sum(len(e.generations) for e in engines) > n)
             results = await fleet.read_results("f2", "batch-1", 2)
