Let requests wait for the trial that another, same request has just got

Of several same requests on two upstreams that crashed at once (24 streams with one path, customer and body), one got the trial and the others were rejected in the same millisecond, before it was sent: the issuer told them when to come back, but not that a trial was pending. The issuer now says so, and they wait for its outcome as they do for one that runs.

test_same_requests_wait_for_the_outcome_of_the_trial_that_one_of_them_has failed before.

--- a/acaciarill/fleet/_crash_detection.py
+++ b/acaciarill/fleet/_crash_detection.py
@@ -30,9 +30,9 @@
     registration is gone or replaced soon after. A request that was abandoned counts if connections
     are refused soon after, since the upstream may have gone on with it. An upstream that has left
     did not crash.
-    `is_refused` returns whether nothing listens at an address, if that is known within some seconds.
-    `on_crash` is called with the
-    lifetime of the upstream and the key of a request, for each request that ran there.
+    `is_refused` returns whether nothing listens at an address, if that is known within some
+    seconds. `on_crash` is called with the lifetime of the upstream and the key of a request, for
+    each request that ran there.
     """
 
     def __init__(
--- a/acaciarill/fleet/_quarantine.py
+++ b/acaciarill/fleet/_quarantine.py
@@ -13,7 +13,13 @@
 from ..errors import AcaciarillError, Outcome, RefusedError, Step, UpstreamError
 from ._crash_records import CrashRecord, digest_records
 from ._issuers import Issuers
-from .const import ISSUER_BACKOFF_S, MAX_CRASH_RECORDS, TRIAL_POLL_S, TRIAL_RESERVATION_S
+from .const import (
+    ISSUER_BACKOFF_S,
+    MAX_CRASH_RECORDS,
+    TRIAL_POLL_S,
+    TRIAL_RECHECK_S,
+    TRIAL_RESERVATION_S,
+)
 
 REQUEST_QUARANTINED = "request-quarantined"
 """Code of the error for a request that was not sent because upstreams crashed when it ran."""
@@ -21,10 +27,14 @@
 
 @dataclass(slots=True, frozen=True)
 class TrialGrant:
-    """Say whether a request may run as a trial, or when to ask again (None: never)."""
+    """Say whether a request may run as a trial, or when to ask again (None: never).
+
+    `is_pending` says that another attempt has the trial, whose outcome is not known yet.
+    """
 
     granted: bool
     retry_after_s: float | None = None
+    is_pending: bool = False
 
 
 CallTrialIssuer = Callable[[str, str, str, bytes], Awaitable[TrialGrant]]
@@ -135,17 +145,20 @@
             if grant.granted:
                 self.on_decision("trial")
                 return True
-            if not self._is_trial_running(key) or self.clock() >= give_up_at:
+            if not grant.is_pending or self.clock() >= give_up_at:
                 self.on_decision("rejected")
                 raise _rejection(grant)
             await self._wait_for_trial(key, give_up_at)
         return False
 
-    def _is_trial_running(self, key: str) -> bool:
-        return key in self.records and self.records[key].is_trial_running(self.clock())
-
     async def _wait_for_trial(self, key: str, give_up_at: float) -> None:
-        while self._is_trial_running(key) and self.clock() < give_up_at:  # noqa: ASYNC110
+        """Wait until a trial of a request has an outcome, for a short time if none is known."""
+        record = self.records.get(key)
+        crash_count = len(record.crashes) if record is not None else 0
+        wait_until = min(give_up_at, self.clock() + TRIAL_RECHECK_S)
+        while self.clock() < wait_until and self.is_quarantined(key):
+            if len(self.records[key].crashes) > crash_count:
+                return
             await anyio.sleep(TRIAL_POLL_S)
 
     def issue_trial(self, key: str, attempt_id: str) -> TrialGrant:
@@ -158,10 +171,12 @@
         if next_trial_at is None:
             return TrialGrant(False)
         holder, reserved_until = self.reservations.get(key, ("", 0.0))
-        if holder != attempt_id:
+        is_reserved = holder != attempt_id and reserved_until > now
+        if is_reserved:
             next_trial_at = max(next_trial_at, reserved_until)
         if next_trial_at > now:
-            return TrialGrant(False, next_trial_at - now)
+            is_pending = is_reserved or record.is_trial_running(now)
+            return TrialGrant(False, next_trial_at - now, is_pending)
         self.reservations[key] = (attempt_id, now + TRIAL_RESERVATION_S)
         return TrialGrant(True)
 
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -109,6 +109,8 @@
 TRIAL_RESERVATION_S = 1.0
 """How long an issued trial blocks others until it is sent."""
 TRIAL_POLL_S = 0.02
+TRIAL_RECHECK_S = 0.2
+"""How often a request that waits for another attempt's trial asks the issuer again."""
 CRASH_RECORD_TTL_S = 3600.0
 """How long the crashes under a request are kept after the last of them or the last trial."""
 COMPLETED_RECORD_TTL_S = 60.0
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -432,7 +432,8 @@
         call = messages.TakeTrial(request_key=key, attempt_id=attempt_id, records=records)
         address = self.members.by_name[issuer].address
         frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_trial=call)
-        return TrialGrant(frame.issued_trial.granted, frame.issued_trial.retry_after_s)
+        issued = frame.issued_trial
+        return TrialGrant(issued.granted, issued.retry_after_s, bool(issued.is_pending))
 
     async def _on_take_trial(self, call: messages.TakeTrial) -> dict[str, messages.IssuedTrial]:
         if self.quarantine is None:
@@ -443,7 +444,9 @@
         grant = self.quarantine.issue_trial(call.request_key, call.attempt_id)
         return {
             "issued_trial": messages.IssuedTrial(
-                granted=grant.granted, retry_after_s=grant.retry_after_s
+                granted=grant.granted,
+                retry_after_s=grant.retry_after_s,
+                is_pending=grant.is_pending,
             )
         }
 
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -346,10 +346,12 @@
   3: binary records,
 }
 
-// `retry_after_s` is missing if no further trial will be granted.
+// `retry_after_s` is missing if no further trial will be granted. `is_pending` says that another
+// attempt has the trial, whose outcome is not known yet.
 struct IssuedTrial {
   1: bool granted,
   2: optional double retry_after_s,
+  3: bool is_pending,
 }
 
 // Tells which software version of a service began a stream; `stream` is the id of the request that
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import anyio
+
 from acaciarill.errors import AcaciarillError, PeerError, RefusedError, Step, UpstreamError
 from acaciarill.fleet import CrashRecord, Issuers, Quarantine, TrialGrant
 from acaciarill.fleet._crash_records import digest_records
@@ -148,6 +150,33 @@
         self.assertIsInstance(error, RefusedError)
         self.assertAlmostEqual(error.retry_after_s, TRIAL_BACKOFF_S)
 
+    # Of several same requests on two upstreams that crashed at once, all but one were rejected.
+    async def test_same_requests_wait_for_the_outcome_of_the_trial_that_one_of_them_has(
+        self,
+    ) -> None:
+        daemons = Daemons("a", "b")
+        daemons.clock = anyio.current_time  # type: ignore[method-assign]
+        daemons.by_name = {name: daemons._build(name) for name in "ab"}
+        for lifetime in ("u1", "u2"):
+            daemons.by_name["a"].record_crash(lifetime, KEY)
+        admitted: list[tuple[str, bool]] = []
+
+        async def admit(name: str, attempt_id: str) -> None:
+            is_trial = await daemons.by_name[name].admit(KEY, attempt_id, 5.0)
+            admitted.append((attempt_id, is_trial))
+            if is_trial:
+                await anyio.sleep(0.05)  # the connection is opened
+                daemons.by_name[name].record_trial(KEY, attempt_id)
+                await anyio.sleep(0.3)
+                daemons.by_name[name].release(KEY, "the request completed")
+
+        with anyio.fail_after(3.0):
+            async with anyio.create_task_group() as tasks:
+                for number in range(6):
+                    tasks.start_soon(admit, "ab"[number % 2], f"r{number}")
+        self.assertEqual(sum(is_trial for _, is_trial in admitted), 1)
+        self.assertEqual(len(admitted), 6)
+
     async def test_attempt_whose_upstream_could_not_be_reached_keeps_its_trial(self) -> None:
         daemons = Daemons("a", "b")
         daemons.crash("a", "u1")
