Reserve fewer ports in each test process

Each process kept up to 150 of the 600 ports reserved for itself, so four processes could hold all of them. It is 60 now, more than a test uses.

--- a/tests/fakes/ports.py
+++ b/tests/fakes/ports.py
@@ -10,9 +10,12 @@
 LISTEN_PORT_RANGE = (32_100, 32_700)
 """Below the kernel's range for outgoing connections, above the range of tests.fakes.fleet."""
 
+RESERVED_PORTS = 60
+"""More than one test uses; eight processes, as in two test runs at once, leave a fifth free."""
+
 _COUNT = LISTEN_PORT_RANGE[1] - LISTEN_PORT_RANGE[0]
 _turn = itertools.count(os.getpid() * 37)
-_reservations: deque[socket.socket] = deque(maxlen=_COUNT // 4)
+_reservations: deque[socket.socket] = deque(maxlen=RESERVED_PORTS)
 """A UDP socket on each recently returned port keeps other test processes from taking it."""
 
 
