--- a/tests/command_line/test_command_line.py
+++ b/tests/command_line/test_command_line.py
@@ -121,6 +121,8 @@
             base_port, reservation = reserve_ports()
             port = base_port + offset
             with reservation, socket.socket() as occupied_socket:
+                # Closed connections of an earlier fleet do not keep the port from being used.
+                occupied_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 occupied_socket.bind(("127.0.0.1", port))
                 occupied_socket.listen()
                 process = self.run_command("dev", "--base-port", str(base_port))
