--- a/review/standins/http11.py
+++ b/review/standins/http11.py
@@ -153,9 +153,10 @@
                 self.tasks.discard(task)
                 if not task.done():
                     task.cancel()
-                    await asyncio.gather(task, return_exceptions=True)
+                    await asyncio.gather(task, left, return_exceptions=True)
                     return
                 if left.done():
+                    left.exception()  # a reset is as good as a close
                     return
                 left.cancel()
                 await asyncio.gather(left, return_exceptions=True)
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -333,7 +333,9 @@
             "X-Acaciarill-Weight-Versions": str(version),
         }
         await connection.begin_stream(headers)
-        for event_id in range(int(after) + 1 if after else 1, self.event_count(request_id) + 1):
+        event_id = int(after) if after else 0
+        while event_id < self.event_count(request_id):
+            event_id += 1
             await asyncio.sleep(self.event_s)
             mark = ""
             if self.models[model] != version:
