--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -53,6 +53,7 @@
         self.replicas: dict[str, Replica] = {}
         self.daemons: dict[str, subprocess.Popen[bytes]] = {}
         self.ips: dict[str, str] = {}
+        self.programs: dict[str, tuple[str, str]] = {}
 
     def note(self, what: str, **fields: object) -> None:
         """Write one line into the record."""
@@ -76,7 +77,8 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         for name in self.ips:
             role = name.partition("-")[0]
-            self._start_daemon(name, role, deploy["roles"][role]["run"])
+            self.programs[name] = (role, deploy["roles"][role]["run"])
+            self._start_daemon(name, *self.programs[name])
         await self.until("the fronts are ready", self._all_ready, READY_TIMEOUT_S)
 
     def replica(self, name: str, service: str, slots: int, zone: str = "a") -> Replica:
@@ -102,12 +104,25 @@
             "PYTHONDONTWRITEBYTECODE": "1",
             "ACACIARILL_SETTINGS": str(settings),
         }
-        with (folder / f"{name}.log").open("wb") as log:
+        with (folder / f"{name}.log").open("ab") as log:
             self.daemons[name] = subprocess.Popen(
                 run.split(), cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT
             )
         self.note("daemon started", name=name)
 
+    def restart(self, name: str) -> None:
+        """Start a daemon that has ended."""
+        self._start_daemon(name, *self.programs[name])
+
+    def memory_mb(self, name: str) -> int:
+        """Return the memory that a daemon uses, 0 if it has ended."""
+        try:
+            status = Path(f"/proc/{self.daemons[name].pid}/status").read_text()
+        except OSError:
+            return 0
+        lines = [line.split() for line in status.splitlines()]
+        return next((int(line[1]) // 1024 for line in lines if line[0] == "VmRSS:"), 0)
+
     def _settings(self, name: str, role: str) -> str:
         ip = self.ips[name]
         seeds = [f"{self.ips[seed]}:{CONTROL_PORT}" for seed in self.ips if "front" in seed]
--- a/review/standins/http11.py
+++ b/review/standins/http11.py
@@ -151,16 +151,12 @@
                 left = asyncio.ensure_future(reader.read(1))  # callers here do not pipeline
                 await asyncio.wait({task, left}, return_when=asyncio.FIRST_COMPLETED)
                 self.tasks.discard(task)
+                has_left = left.done()
+                left.cancel()
                 if not task.done():
                     task.cancel()
-                    await asyncio.gather(task, left, return_exceptions=True)
-                    return
-                if left.done():
-                    left.exception()  # a reset is as good as a close
-                    return
-                left.cancel()
-                await asyncio.gather(left, return_exceptions=True)
-                if task.exception() is not None:
+                outcomes = await asyncio.gather(task, left, return_exceptions=True)
+                if has_left or outcomes[0] is not None:
                     return
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -237,7 +237,8 @@
         ]
         return max(ends, default=0.0)
 
-    def _headers(self, request: Message) -> dict[str, str]:
+    def answer_headers(self, request: Message) -> dict[str, str]:
+        """Return the headers of an answer to a request."""
         load = f"{self.busy},{self.waiting},{self.slots}"
         headers = {"X-Acaciarill-Instance-Load": load}
         if ID in request.headers:
@@ -294,7 +295,7 @@
 
     async def reject(self, request: Message, connection: Connection) -> None:
         """Answer that the request is not run."""
-        headers = self._headers(request) | {"X-Acaciarill-Not-Run": "1"}
+        headers = self.answer_headers(request) | {"X-Acaciarill-Not-Run": "1"}
         self.note("rejected", replica=self.name, request=request.headers.get(ID))
         await connection.answer(503, b"", headers)
 
@@ -325,7 +326,9 @@
                 await self._generate(request, connection, request_id, after)
             else:
                 await asyncio.sleep(self.work_s)
-                headers = self._headers(request) | {"X-Acaciarill-Server-Stamp": f"s.{request_id}"}
+                headers = self.answer_headers(request) | {
+                    "X-Acaciarill-Server-Stamp": f"s.{request_id}"
+                }
                 await connection.answer(200, b"plain " + request.body, headers)
         finally:
             self.running.remove(request_id)
@@ -339,7 +342,7 @@
     ) -> None:
         model = request.headers["x-acaciarill-model"]
         version = self.models[model]
-        headers = self._headers(request) | {
+        headers = self.answer_headers(request) | {
             "Content-Type": "text/event-stream",
             "X-Acaciarill-Server-Stamp": f"s.{request_id}",
             "X-Acaciarill-Weight-Versions": str(version),
