--- a/review/t5/case.py
+++ b/review/5/case.py
@@ -11,6 +11,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins import deployment as d  # noqa: E402
+from standins.platform import Replica  # noqa: E402
 
 MODEL = "daka510000"
 SLOTS = 4
@@ -19,6 +20,20 @@
 FREEZE_S = 3.2
 TRAINER_LIMIT_S = 12.0
 SHORT, LONG = 5, 30
+ROUNDS = 5
+CATCH_UP_S = 4.3
+
+
+class Calls:
+    """Decide how long the texts are."""
+
+    live_ends = False
+
+    def event_count(self, request_id: str) -> int:
+        """Return the number of events of a text."""
+        if request_id.startswith("live"):
+            return 1 if self.live_ends else 1000
+        return SHORT if request_id.startswith(("first", "done")) else LONG
 
 
 def configuration() -> dict[str, object]:
@@ -61,16 +76,16 @@
     return name
 
 
-async def send_live(world: d.Deployment, front: int, number: int) -> None:
+async def send_live(world: d.Deployment, front: int, name: str) -> None:
     """Send a live stream."""
     headers = {
-        "X-Acaciarill-Attempt-Id": f"live{number}",
+        "X-Acaciarill-Attempt-Id": name,
         "X-Acaciarill-Deadline-Ms": "15000",
         "X-Acaciarill-Model": MODEL,
         "X-Acaciarill-Token-Count": "16,900",
         "X-Acaciarill-Prompt-Prefix": "5d07b8:16",
     }
-    await world.send(front, "POST", f"/g/live{number}", headers, b"prompt", 16.0)
+    await world.send(front, "POST", f"/g/{name}", headers, b"prompt", 16.0)
 
 
 async def freeze_keeper(world: d.Deployment) -> None:
@@ -83,62 +98,77 @@
     world.note("store-a-1 thawed")
 
 
-async def play(world: d.Deployment) -> list[str]:
-    """Return the results with a version under their batch's `min_version`."""
-    engines = [world.replica(f"i-{n}", "engines", SLOTS) for n in (1, 2)]
-    scorer = world.replica("i-score", "scorer", 6)
-    live_ends = False
-
-    def event_count(request_id: str) -> int:
-        if request_id.startswith("live"):
-            return 1 if live_ends else 1000
-        return SHORT if request_id.startswith(("first", "done")) else LONG
-
-    for engine in engines:
-        engine.models[MODEL] = 1
-        engine.event_s = EVENT_S
-        engine.event_count = event_count
-    await world.start([*engines, scorer], configuration())
-    await asyncio.sleep(3.5)  # longer than contact_ms: all machines are in touch
-    name = await submit(world, 1, 1, ["first"])
-    await world.read_results(name, 4, time.monotonic() + TRAINER_LIMIT_S)
-    await world.send(1, "DELETE", f"/lots/{name}")
-    owner = world.store.kinds["batches"][name]["spec"]["owner"]
-    owner_front, other_front = (1, 2) if owner == "front-a-1" else (2, 1)
-
-    # Live streams take all slots but one, so one engine keeps version 1 for now.
-    live = [asyncio.ensure_future(send_live(world, owner_front, n)) for n in range(2 * SLOTS - 1)]
+async def play_round(
+    world: d.Deployment, engines: list[Replica], fronts: tuple[int, int], number: int, calls: Calls
+) -> list[str]:
+    """Play two steps with a freeze at the end of the first; return the results too old."""
+    owner_front, other_front = fronts
+    version = engines[0].models[MODEL]
+    # Live streams take all slots but one, so one engine keeps its version for now.
+    calls.live_ends = False
+    live = [
+        asyncio.ensure_future(send_live(world, owner_front, f"live{number}x{n}"))
+        for n in range(2 * SLOTS - 1)
+    ]
     await asyncio.sleep(0.3)
-    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    world.store.put("versions", MODEL, {"model": MODEL, "version": version + 1})
 
     async def one_is_loaded() -> bool:
-        return sorted(engine.models[MODEL] for engine in engines) == [1, 2]
+        return sorted(engine.models[MODEL] for engine in engines) == [version, version + 1]
 
-    await world.until("one engine has version 2", one_is_loaded, 5.0)
-    name = await submit(world, other_front, 2, ["done", "late"])
+    await world.until("one engine has the new version", one_is_loaded, 5.0)
+    done, late = f"done{number}", f"late{number}"
+    name = await submit(world, other_front, version + 1, [done, late])
     results = await world.read_results(name, 4, time.monotonic() + TRAINER_LIMIT_S)
     if len(results) < 4:
         raise d.NotRunError("the group that the trainer waits for was not complete")
     freeze = asyncio.ensure_future(freeze_keeper(world)) if d.trouble() else None
     await world.send(other_front, "DELETE", f"/lots/{name}")
     await asyncio.sleep(TRAIN_S)
-    world.store.put("versions", MODEL, {"model": MODEL, "version": 3})
-    world.note("version named", version=3)
+    world.store.put("versions", MODEL, {"model": MODEL, "version": version + 2})
+    world.note("version named", version=version + 2)
     # The group that was not complete comes again.
-    name = await submit(world, other_front, 3, ["late", "next"])
-    live_ends = True
+    name = await submit(world, other_front, version + 2, [late, f"next{number}"])
+    calls.live_ends = True
     results = await world.read_results(name, 8, time.monotonic() + TRAINER_LIMIT_S, other_front)
     if freeze is not None:
         await freeze
     await world.send(other_front, "DELETE", f"/lots/{name}")
     await asyncio.gather(*live)
-    if not results:
-        raise d.NotRunError("no result of the last step was listed")
+
+    async def all_are_loaded() -> bool:
+        return all(engine.models[MODEL] == version + 2 for engine in engines)
+
+    await world.until("all engines have the new version", all_are_loaded, 10.0)
+    await asyncio.sleep(CATCH_UP_S)
     return [
-        f"VERSION: {result['id']} has versions {result['versions']}, min_version is 2"
+        f"VERSION: {result['id']} has versions {result['versions']}, min_version is {version + 1}"
         for result in results.values()
-        if result["state"] == "completed" and min(result["versions"]) < 2
+        if result["state"] == "completed" and min(result["versions"]) < version + 1
     ]
 
 
+async def play(world: d.Deployment) -> list[str]:
+    """Return the results with a version under their batch's `min_version`."""
+    engines = [world.replica(f"i-{n}", "engines", SLOTS) for n in (1, 2)]
+    scorer = world.replica("i-score", "scorer", 6)
+    calls = Calls()
+    for engine in engines:
+        engine.models[MODEL] = 1
+        engine.event_s = EVENT_S
+        engine.event_count = calls.event_count
+    await world.start([*engines, scorer], configuration())
+    await asyncio.sleep(3.5)  # longer than contact_ms: all machines are in touch
+    name = await submit(world, 1, 1, ["first"])
+    await world.read_results(name, 4, time.monotonic() + TRAINER_LIMIT_S)
+    await world.send(1, "DELETE", f"/lots/{name}")
+    owner = world.store.kinds["batches"][name]["spec"]["owner"]
+    fronts = (1, 2) if owner == "front-a-1" else (2, 1)
+    broken = []
+    for number in range(ROUNDS):
+        broken += await play_round(world, engines, fronts, number, calls)
+        world.note("round ends", number=number, broken=len(broken))
+    return broken
+
+
 d.run_case(FOLDER, play)
