--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,12 +18,12 @@
 from standins.platform import ID, Replica  # noqa: E402
 
 MODEL = "daka510000"
-STEPS = 9
+STEPS = 20
 STEP_S = 4.0
 ITEMS = 12
 SLOTS = 8
 LIVE_PERIOD_S = 0.5
-LIVE_BURST = 12
+LIVE_BURST = 16
 MAX_EXTRA_SHARE = 0.03
 NOT_RUN = b"x-acaciarill-not-run"
 
