Limit the texts of items: an endless one took daemons over their memory limit

What callers saw: an engine answered items with valid events and never ended.

Cause: GeneratedText kept every event. The limits of the edge are for one event and for buffered bodies; a stream of valid events meets neither.

The mend: a text may have as many events as its item allows tokens, and as many bytes as a stored result may hold; all texts together may take a share of the process's memory, beyond which only short ones grow. All three are limits of the caller's or the operator's (Token-Count, value_bytes, memory_mb). An engine whose stream exceeds one has failed, and the text begins anew at another. A text that is being generated is no longer evicted from the cache, where it would be counted no more.

--- a/acaciarill/batches/__init__.py
+++ b/acaciarill/batches/__init__.py
@@ -6,6 +6,7 @@
 from ._model import BatchHead, Item, Result, ResultPage, ScoreRequest, StreamEvent, Submission
 from ._runner import BatchRunner, RunnerPorts, select_priority_groups
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
+from ._texts import TextCache, TextLimits
 
 __all__ = [
     "BatchManager",
@@ -26,4 +27,6 @@
     "ScoreRequest",
     "StreamEvent",
     "Submission",
+    "TextCache",
+    "TextLimits",
 ]
--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -1,7 +1,7 @@
 """Run the batches that this daemon owns, and take over those of dead daemons."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 import anyio.abc
@@ -16,7 +16,7 @@
 from ._model import BatchHead, Submission
 from ._reading import ReadAtOwner, ResultReader
 from ._runner import BatchRunner, RunnerPorts
-from ._texts import TextCache
+from ._texts import TextCache, TextLimits
 from .const import BATCH_RETENTION_S, KIND_HEADS, KIND_TEXTS, RUN_RETRY_DELAY_S
 
 SendBatch = Callable[[str, str, Record, bytes, bytes], Awaitable[None]]
@@ -34,6 +34,7 @@
     send_batch: SendBatch
     runner: RunnerPorts
     task_group: anyio.abc.TaskGroup
+    text_limits: TextLimits = field(default_factory=TextLimits)
 
 
 class BatchManager:
@@ -51,7 +52,7 @@
         self.claiming_ids: set[str] = set()
         self.taken_over_ids: set[str] = set()
         self.runnable_ids: set[str] = set()
-        self.texts = TextCache()
+        self.texts = TextCache(ports.text_limits)
         self.draining = False
         self.heads = BatchHeadStore(mirror, ports.store, ports.decode_submission)
         self.acceptance = Acceptance(
--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -24,6 +24,7 @@
     """Hold one generation request of a batch; the items of a group share their prompt.
 
     `expected_tokens` is the client's estimate of the output length, 0 if there is none.
+    `max_output_tokens` is how many tokens the client allows, 0 if it sets no limit.
     """
 
     id: str
@@ -34,6 +35,7 @@
     group: str
     expected_tokens: int = 0
     score: ScoreRequest | None = None
+    max_output_tokens: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -7,7 +7,7 @@
 import anyio
 from eliot import log_message
 
-from ..errors import AcaciarillError, Outcome, UpstreamError
+from ..errors import AcaciarillError, Outcome, Step, UpstreamError
 from ..fleet import (
     Attempt,
     AttemptSender,
@@ -205,11 +205,11 @@
             return reused
         if self.taken_over and item.id in self.restored_ids:
             await anyio.sleep(TAKEOVER_DELAY_S)
-        text = self.texts.resumable_text(item, min_version, route.single_version)
-        await self._generate(item, prioritized, text)
-        score = await self._score(item.score) if item.score is not None else None
-        output = "\n".join(text.events)
-        versions = tuple(sorted(text.versions))
+        with self.texts.open_text(item, min_version, route.single_version) as text:
+            await self._generate(item, prioritized, text)
+            score = await self._score(item.score) if item.score is not None else None
+            output = "\n".join(text.events)
+            versions = tuple(sorted(text.versions))
         result = Result(item.id, STATE_COMPLETED, output, versions, score)
         self.texts.add_result(item, result)
         return result
@@ -276,7 +276,7 @@
             previous_software_version=text.software_version,
             software_version=software_version,
         )
-        text.clear()
+        self.texts.clear_text(item, text)
 
     def _slot_request(
         self,
@@ -370,18 +370,22 @@
                     version = version if event.version is None else event.version
                     if version is None:  # checked here: a complete text has no further events
                         return head.status, "no weight version"
-                    if not self._accepts_version(route, text, version):
+                    if not self._accepts_version(item, route, text, version):
                         return head.status, "weight version is not allowed"
                     if text.last_event_id is not None and event.id != text.last_event_id + 1:
                         return head.status, "event id is not consecutive"
-                    text.append_event(event.id, event.data, version)
+                    excess = self.texts.append_event(item, text, event.id, event.data, version)
+                    if excess:
+                        # An engine before this one may have sent the excess, so nothing is kept.
+                        self.texts.clear_text(item, text)
+                        raise UpstreamError(excess, step=Step.RECEIVE, peer=upstream.id)
                     text.software_version = upstream.software_version
                     stream.slot_request.software_version = upstream.software_version
                     stream.record_event(ports.clock())
         state.record_success()
         return STATUS_OK, ""
 
-    def _accepts_version(self, route: Route, text: GeneratedText, version: int) -> bool:
+    def _accepts_version(self, item: Item, route: Route, text: GeneratedText, version: int) -> bool:
         """Return whether an event of this version can be appended to the text.
 
         A text that must have a single version is cleared if it has another one.
@@ -389,7 +393,7 @@
         if version < self.submission.min_version:
             return False
         if route.single_version and text.versions and text.versions != [version]:
-            text.clear()
+            self.texts.clear_text(item, text)
             return False
         return True
 
--- a/acaciarill/batches/_texts.py
+++ b/acaciarill/batches/_texts.py
@@ -1,14 +1,22 @@
 """Cache texts and results by item, for a batch with a new owner or a resubmitted group."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 
 from ._model import Item, Result
-from .const import MAX_CHECKPOINT_CHARACTERS, MIN_CHECKPOINT_EVENTS
+from .const import (
+    MAX_CHECKPOINT_CHARACTERS,
+    MAX_RESULT_BYTES,
+    MIN_CHECKPOINT_EVENTS,
+    RESULT_OVERHEAD_BYTES,
+    TEXT_MEMORY_SHARE,
+    UNRESTRICTED_TEXT_BYTES,
+)
 
 MAX_CACHED_TEXTS = 2000
 """Limit of cached texts, and of cached results: about ten open batches with items of 10 KB."""
@@ -17,17 +25,43 @@
 """Length of a text's row for another daemon."""
 
 
+@dataclass(slots=True, frozen=True)
+class TextLimits:
+    """Limit the size of one text as JSON and that of all texts together, in bytes."""
+
+    text_bytes: int = MAX_RESULT_BYTES
+    total_bytes: int = 32 * 1024 * 1024
+
+    @classmethod
+    def from_settings(cls, max_object_bytes: int, memory_bytes: int) -> "TextLimits":
+        """Return the limits that follow from those of stored objects and of the process."""
+        text_bytes = min(MAX_RESULT_BYTES, max_object_bytes) - RESULT_OVERHEAD_BYTES
+        return cls(max(0, text_bytes), int(TEXT_MEMORY_SHARE * memory_bytes))
+
+
+def encoded_size(text: str) -> int:
+    """Return the bytes that a text takes as JSON."""
+    return len(orjson.dumps(text))
+
+
 @dataclass(slots=True)
 class GeneratedText:
     """Hold the events that have been generated for one item.
 
-    They all come from engines of one software version.
+    They all come from engines of one software version. `size` is in bytes of JSON. A text with
+    users is being generated.
     """
 
     events: list[str] = field(default_factory=list)
     last_event_id: int | None = None
     versions: list[int] = field(default_factory=list)
     software_version: str = ""
+    size: int = field(default=0, compare=False)
+    user_count: int = field(default=0, compare=False)
+
+    def __post_init__(self) -> None:
+        """Measure the events that a text is created with."""
+        self.size = sum(map(encoded_size, self.events))
 
     def append_event(self, event_id: int, data: str, version: int) -> None:
         """Append an event that an engine generated with a weight version."""
@@ -35,11 +69,13 @@
             self.versions.append(version)
         self.events.append(data)
         self.last_event_id = event_id
+        self.size += encoded_size(data)
 
     def clear(self) -> None:
         """Drop all events, so that the item is generated from its start."""
         self.events, self.last_event_id, self.versions = [], None, []
         self.software_version = ""
+        self.size = 0
 
     def as_row(self) -> list[Any]:
         """Return the text as a row for another daemon."""
@@ -52,28 +88,78 @@
         return all(version >= min_version for version in self.versions)
 
 
+def find_excess(
+    text: GeneratedText, max_output_tokens: int, total_bytes: int, limits: TextLimits
+) -> str:
+    """Return which limit a text exceeds, or an empty string; `total_bytes` counts all texts."""
+    if max_output_tokens and len(text.events) > max_output_tokens:
+        return f"text has more events than the {max_output_tokens} tokens that the item allows"
+    if text.size > limits.text_bytes:
+        return f"text is longer than {limits.text_bytes} bytes, the limit of a result"
+    if text.size > UNRESTRICTED_TEXT_BYTES and total_bytes > limits.total_bytes:
+        return f"all texts are longer than {limits.total_bytes} bytes"
+    return ""
+
+
 class TextCache:
-    """Hold the texts and results of items, up to MAX_CACHED_TEXTS of each."""
+    """Hold the texts and results of items, up to MAX_CACHED_TEXTS of each and to some bytes.
+
+    Texts that are being generated are never evicted; `find_excess` limits their growth.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: TextLimits | None = None) -> None:
+        self.limits = limits or TextLimits()
         self.texts: OrderedDict[str, GeneratedText] = OrderedDict()
         self.results: OrderedDict[tuple[str, str], Result] = OrderedDict()
+        self.text_bytes = 0
+        self.result_bytes = 0
+
+    @contextmanager
+    def open_text(
+        self, item: Item, min_version: int, single_version: bool
+    ) -> Iterator[GeneratedText]:
+        """Yield the text to resume an item from, which is not evicted inside the block."""
+        text = self.resumable_text(item, min_version, single_version)
+        text.user_count += 1
+        try:
+            yield text
+        finally:
+            text.user_count -= 1
 
     def resumable_text(self, item: Item, min_version: int, single_version: bool) -> GeneratedText:
         """Return the text to resume an item from, an empty one if none has allowed versions."""
         text = self.texts.get(item.id)
         if text is None or not text.has_allowed_versions(min_version, single_version):
-            text = self.texts[item.id] = GeneratedText()
-        while len(self.texts) > MAX_CACHED_TEXTS:
-            self.texts.popitem(last=False)
+            self._evict_texts(added=1)
+            text = GeneratedText()
+            self._put_text(item.id, text)
         return text
 
+    def append_event(
+        self, item: Item, text: GeneratedText, event_id: int, data: str, version: int
+    ) -> str:
+        """Append an event to an item's text; return which limit the text exceeds, if any."""
+        previous_size = text.size
+        text.append_event(event_id, data, version)
+        if self.texts.get(item.id) is text:
+            self.text_bytes += text.size - previous_size
+        return find_excess(text, item.max_output_tokens, self.text_bytes, self.limits)
+
+    def clear_text(self, item: Item, text: GeneratedText) -> None:
+        """Drop all events of an item's text."""
+        if self.texts.get(item.id) is text:
+            self.text_bytes -= text.size
+        text.clear()
+
     def add_result(self, item: Item, result: Result) -> None:
         """Cache the result of a finished item and drop its text, which the result contains."""
-        self.texts.pop(item.id, None)
-        self.results[_result_key(item)] = result
-        while len(self.results) > MAX_CACHED_TEXTS:
-            self.results.popitem(last=False)
+        self._remove_text(item.id)
+        key = _result_key(item)
+        self._remove_result(key)
+        self.results[key] = result
+        self.result_bytes += len(result.text)
+        while len(self.results) > MAX_CACHED_TEXTS or self.result_bytes > self.limits.total_bytes:
+            self._remove_result(next(iter(self.results)))
 
     def reusable_result(self, item: Item, min_version: int, single_version: bool) -> Result | None:
         """Return the cached result of an item if its versions are allowed, else None."""
@@ -118,10 +204,39 @@
             text = GeneratedText(*row[:ROW_LENGTH])
             current = self.texts.get(item_id)
             if current is None or len(current.events) < len(text.events):
-                self.texts[item_id] = text
+                self._put_text(item_id, text)
                 merged.add(item_id)
+        self._evict_texts()
         return merged
 
+    def _put_text(self, item_id: str, text: GeneratedText) -> None:
+        self._remove_text(item_id)
+        self.texts[item_id] = text
+        self.text_bytes += text.size
+
+    def _remove_text(self, item_id: str) -> None:
+        text = self.texts.pop(item_id, None)
+        if text is not None:
+            self.text_bytes -= text.size
+
+    def _remove_result(self, key: tuple[str, str]) -> None:
+        result = self.results.pop(key, None)
+        if result is not None:
+            self.result_bytes -= len(result.text)
+
+    def _evict_texts(self, added: int = 0) -> None:
+        """Remove the oldest texts that are not being generated, until `added` more fit."""
+        if self._has_room(added):
+            return
+        for item_id in [name for name, text in self.texts.items() if not text.user_count]:
+            self._remove_text(item_id)
+            if self._has_room(added):
+                return
+
+    def _has_room(self, added: int) -> bool:
+        is_full = len(self.texts) + added > MAX_CACHED_TEXTS
+        return not is_full and self.text_bytes <= self.limits.total_bytes
+
 
 def _result_key(item: Item) -> tuple[str, str]:
     return item.id, item.score.id if item.score is not None else ""
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -8,6 +8,14 @@
 MAX_PART_CHARACTERS = 300_000
 """The store limits an object to 1 MB, and escaping may triple the size of a part."""
 MAX_SEGMENT_BYTES = 500_000
+MAX_RESULT_BYTES = 1_000_000
+"""Limit of one result as JSON, since a response to a reader is limited to 1 MB."""
+RESULT_OVERHEAD_BYTES = 16 * 1024
+"""Room in a stored object for what a result has besides its text."""
+TEXT_MEMORY_SHARE = 0.125
+"""Share of the process's memory for unfinished texts, and as much again for reusable results."""
+UNRESTRICTED_TEXT_BYTES = 64 * 1024
+"""Longer texts may not grow while all texts together exceed their share of the memory."""
 MAX_PAGE_CHARACTERS = 700_000
 """A response to a reader is limited to 1 MB."""
 
--- a/acaciarill/fleet_daemon/__init__.py
+++ b/acaciarill/fleet_daemon/__init__.py
@@ -3,9 +3,11 @@
 from ._daemon import FleetDaemon
 from ._peers import PeerService
 from ._ports import FleetKinds, FleetPorts, FleetSettings
-from .const import ROLE_KEEPER
+from .const import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES, ROLE_KEEPER
 
 __all__ = [
+    "DEFAULT_MAX_OBJECT_BYTES",
+    "DEFAULT_MEMORY_BYTES",
     "ROLE_KEEPER",
     "FleetDaemon",
     "FleetKinds",
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -9,7 +9,7 @@
 import orjson
 from eliot import log_message
 
-from ..batches import BatchManager, BatchPorts, EngineScheduler, RunnerPorts
+from ..batches import BatchManager, BatchPorts, EngineScheduler, RunnerPorts, TextLimits
 from ..batches.const import CLAIM_PERIOD_S, KIND_HEADS
 from ..control import RetireDuty, ScaleDuty, StartedRequestCounter, UsageDuty, WeightsDuty
 from ..duties import DutyManager
@@ -195,8 +195,12 @@
                 self.peers.send_batch,
                 runner,
                 self.task_group,
+                TextLimits.from_settings(
+                    self.settings.max_object_bytes, self.settings.memory_bytes
+                ),
             ),
         )
+        self.metrics.watch_texts(self.batch_manager.texts)
         self.peers.batch_manager = self.batch_manager
         self.edge_server: EdgeServer | None = None
         if self.settings.callers:
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -1,6 +1,8 @@
 """Count requests and measure their durations for the metrics endpoint."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from ..batches import TextCache
 
 
 class Metrics:
@@ -62,6 +64,18 @@
             registry=self.registry,
         )
 
+        self.text_bytes = Gauge(
+            "acaciarill_text_bytes",
+            "Bytes of unfinished texts of batches, and of results that may be used again",
+            ["kind"],
+            registry=self.registry,
+        )
+
+    def watch_texts(self, texts: TextCache) -> None:
+        """Report the bytes that a cache holds whenever the metrics are read."""
+        self.text_bytes.labels("unfinished").set_function(lambda: texts.text_bytes)
+        self.text_bytes.labels("result").set_function(lambda: texts.result_bytes)
+
     def count_crash(self) -> None:
         """Count a request that was running at an upstream when it crashed."""
         self.crashes.inc()
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -10,6 +10,7 @@
 from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
 from ..leases import Lease
 from ..mirrors import KindSource, Record
+from .const import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
 
 if TYPE_CHECKING:
     from ._daemon import FleetDaemon
@@ -17,7 +18,10 @@
 
 @dataclass(slots=True, frozen=True)
 class FleetSettings:
-    """Hold the settings of one process; addresses are `ip:port`, times are in seconds."""
+    """Hold the settings of one process; addresses are `ip:port`, times are in seconds.
+
+    `max_object_bytes` is the store's limit of one object, `memory_bytes` that of the process.
+    """
 
     host: str
     data_centre: str
@@ -30,6 +34,8 @@
     drain_s: float
     usage_window_s: float
     metrics_address: str
+    max_object_bytes: int = DEFAULT_MAX_OBJECT_BYTES
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -3,6 +3,8 @@
 ROLE_KEEPER = "keeper"
 """A daemon without clients. It watches the store for the others and is preferred as duty holder."""
 KIND_MEMBERS = "daemons"
+DEFAULT_MAX_OBJECT_BYTES = 1024 * 1024
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
 CONTROL_DUTY = "control"
 """The duty whose lease covers usage reports, scaling, weight loads and host retirements."""
 
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -25,6 +25,7 @@
 from .const import (
     CONFIG_OBJECT_NAME,
     HEADER_LENGTH_HINT,
+    HEADER_TOKEN_COUNT,
     HEADER_WEIGHT_VERSIONS,
     RESULT_STATE_ERRORED,
     UPSTREAM_STATE_DRAINING,
@@ -212,6 +213,7 @@
         tokens=int(value.get("tokens", 0)),
         group=str(value.get("group", value["id"])),
         expected_tokens=_length_hint(value.get("headers") or {}),
+        max_output_tokens=_max_output_tokens(value),
         score=(
             None
             if score_request is None
@@ -225,6 +227,16 @@
     )
 
 
+def _max_output_tokens(item: dict[str, Any]) -> int:
+    """Return how many tokens the client allows, or 0 without a limit."""
+    for name, text in (item.get("headers") or {}).items():
+        if name.lower() == HEADER_TOKEN_COUNT:
+            _, _, max_output = text.partition(",")
+            if max_output.strip().isdecimal():
+                return int(max_output)
+    return max(0, int(item.get("tokens", 0)))
+
+
 def _length_hint(headers: dict[str, str]) -> int:
     """Return the client's estimate of the number of output tokens, or 0 without an estimate."""
     for name, text in headers.items():
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -89,6 +89,8 @@
         drain_s=settings.drain_s,
         usage_window_s=settings.usage_window_s,
         metrics_address=settings.metrics_address,
+        max_object_bytes=settings.max_object_bytes,
+        memory_bytes=settings.memory_bytes,
     )
 
 
--- a/acaciarill/platform/_settings.py
+++ b/acaciarill/platform/_settings.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..errors import ConfigError, ConfigFault
+from ..fleet_daemon import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
 from .const import METRICS_PORT, SETTINGS_PATH, SETTINGS_VARIABLE
 
 
@@ -15,7 +16,8 @@
     """Hold the settings of one process; addresses are `ip:port`, times are in seconds.
 
     The process listens at `callers` for clients, at `readiness` for readiness probes and at `peers`
-    for other daemons; `store` and `duty_api` are addresses of the platform.
+    for other daemons; `store` and `duty_api` are addresses of the platform. `max_object_bytes`
+    limits a stored object, `memory_bytes` the memory of the process.
     """
 
     host: str
@@ -32,6 +34,8 @@
     usage_window_s: float
     batch_retention_s: float
     metrics_address: str
+    max_object_bytes: int = DEFAULT_MAX_OBJECT_BYTES
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     data_centres: tuple[str, ...] = field(default=())
 
 
@@ -74,5 +78,12 @@
         usage_window_s=float(bounds.get("report_window_s", 5)),
         batch_retention_s=float(bounds.get("status_s", 120)),
         metrics_address=f"{ip}:{METRICS_PORT}",
+        max_object_bytes=int(raw["provider"].get("value_bytes", DEFAULT_MAX_OBJECT_BYTES)),
+        memory_bytes=_memory_bytes(raw.get("limits", {})),
         data_centres=tuple(raw.get("zones", {})),
     )
+
+
+def _memory_bytes(limits: dict[str, Any]) -> int:
+    memory_mb = limits.get("memory_mb", 0)
+    return int(memory_mb * 1024 * 1024) if memory_mb > 0 else DEFAULT_MEMORY_BYTES
--- a/acaciarill/platform/const.py
+++ b/acaciarill/platform/const.py
@@ -33,6 +33,8 @@
 """Also the name of the field of a stream event that has the event's weight version."""
 
 HEADER_LENGTH_HINT = "x-acaciarill-length-hint"
+HEADER_TOKEN_COUNT = "x-acaciarill-token-count"
+"""The number of prompt tokens and the maximum number of output tokens, separated by a comma."""
 HEADER_LAST_EVENT_ID = b"last-event-id"
 HEADER_RESUMED_ID = b"resumes"
 """Names the request that brought the first event of the stream that a client takes up."""
--- /dev/null
+++ b/tests/fakes/batches.py
@@ -0,0 +1,147 @@
+"""Run items of batches in this process, at scripted engines over real connections."""
+
+import itertools
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+
+from acaciarill.batches import (
+    BatchHead,
+    BatchRunner,
+    EngineScheduler,
+    Item,
+    ResultLog,
+    RunnerPorts,
+    Submission,
+    TextCache,
+    TextLimits,
+)
+from acaciarill.edge import EdgeLimits, HttpPool, Request, Responder
+from acaciarill.fleet import (
+    AttemptSender,
+    Configuration,
+    Forwarder,
+    Route,
+    RouteKind,
+    Upstream,
+    UpstreamTable,
+)
+from acaciarill.fleet._model import group_routes_by_host
+from acaciarill.platform._decode import EventReader
+from acaciarill.platform._headers import UPSTREAM_CODEC
+from tests.fakes.store import FakeStore
+from tests.fakes.upstream import FakeUpstream, ResponseScript
+
+MODEL = "m"
+ROUTE = Route("r", "h", "/b", RouteKind.BATCH, (("llm", 1.0),), 10.0, 5.0, 2, 0, max_queue_s=60.0)
+SCHEDULER_PERIOD_S = 0.05
+
+
+def make_item(name: str, max_output_tokens: int = 0) -> Item:
+    """Return an item of a group of its own."""
+    return Item(name, f"/b/{name}", (), b"prompt", 10, name, max_output_tokens=max_output_tokens)
+
+
+def stream_events(
+    count: int | None, data: Callable[[int], bytes], version: int = 1, interval_s: float = 0.0
+) -> ResponseScript:
+    """Return a script that sends the events after the requested one: `count`, or without end."""
+
+    async def script(request: Request, responder: Responder) -> None:
+        request_id = request.headers_by_name.get(b"x-acaciarill-attempt-id", b"")
+        headers = [
+            (b"X-Acaciarill-Attempt-Id", request_id),
+            (b"X-Acaciarill-Weight-Versions", b"%d" % version),
+        ]
+        await responder.start(200, headers)
+        first = int(request.headers_by_name.get(b"last-event-id", b"0")) + 1
+        for number in itertools.count(first) if count is None else range(first, count + 1):
+            await responder.send(b"id: %d\ndata: %s\n\n" % (number, data(number)))
+            await anyio.sleep(interval_s)
+        await responder.finish()
+
+    return script
+
+
+@dataclass(slots=True)
+class RunningBatches:
+    """Hold what runners of one daemon share, and start runners."""
+
+    table: UpstreamTable
+    ports: RunnerPorts
+    texts: TextCache
+    task_group: anyio.abc.TaskGroup
+
+    def start(
+        self, batch_id: str, *items: Item, min_version: int = 0, customer: str = "c"
+    ) -> BatchRunner:
+        """Start to run a batch."""
+        head = BatchHead(customer, "h", "/b", 0.0, len(items), 1, "d", "f1")
+        runner = BatchRunner(
+            batch_id,
+            head,
+            Submission(MODEL, min_version, 0, items),
+            ResultLog(batch_id, FakeStore()),
+            self.ports,
+            self.texts,
+        )
+        self.task_group.start_soon(runner.run)
+        return runner
+
+    def texts_by_item(self, runner: BatchRunner) -> dict[str, str]:
+        """Return the stored texts of a batch by item."""
+        return {result.id: result.text for result in runner.log.results}
+
+
+@asynccontextmanager
+async def running_batches(
+    *scripts: ResponseScript, slots: int = 8, limits: TextLimits | None = None, version: int = 1
+) -> AsyncIterator[RunningBatches]:
+    """Serve one engine for each script; the first is preferred. Yield the means to run batches."""
+    clock = anyio.current_time
+    async with anyio.create_task_group() as tasks:
+        engines = [FakeUpstream(script) for script in scripts]
+        for engine in engines:
+            await engine.start(tasks)
+        table = UpstreamTable("dc", clock, random.Random(1))
+        table.update(
+            [
+                Upstream(
+                    f"e{number}",
+                    f"e{number}",
+                    "llm",
+                    engine.address,
+                    "dc" if number == 0 else "other",
+                    slots,
+                    versions={MODEL: version},
+                    software_version="v1",
+                )
+                for number, engine in enumerate(engines)
+            ]
+        )
+        sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock)
+        scheduler = EngineScheduler(table, clock)
+        configuration = Configuration(1, group_routes_by_host([ROUTE]), {}, EdgeLimits(), {})
+        ports = RunnerPorts(
+            sender,
+            scheduler,
+            Forwarder(sender, table, clock, random.Random(1)),
+            EventReader,
+            lambda: configuration,
+            clock,
+            lambda: 0.0,
+        )
+
+        async def run_scheduler() -> None:
+            while True:
+                await anyio.sleep(SCHEDULER_PERIOD_S)
+                scheduler.assign_slots()
+                scheduler.stop_lagging_streams()
+
+        tasks.start_soon(run_scheduler)
+        yield RunningBatches(table, ports, TextCache(limits), tasks)
+        tasks.cancel_scope.cancel()
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -164,6 +164,15 @@
         )
         self.assertEqual(submission.items[0].score.id, "s")
 
+    def test_item_has_the_output_tokens_that_its_client_allows(self) -> None:
+        def limit(headers: dict[str, str]) -> int:
+            item = {"id": "i", "path": "/p", "headers": headers, "tokens": 9}
+            submission = decode_submission(json.dumps({"items": [item]}).encode())
+            return submission.items[0].max_output_tokens
+
+        self.assertEqual(limit({"X-Acaciarill-Token-Count": "5, 4"}), 4)
+        self.assertEqual([limit({}), limit({"X-Acaciarill-Token-Count": "5"})], [9, 9])
+
     def test_malformed_submission_raises_bad_request(self) -> None:
         for body in (b"", b"[]", b"{}", b'{"items":[{}]}', b'{"items":[{"id":"a"}]}'):
             with self.assertRaises(BadRequestError):
@@ -278,6 +287,11 @@
         self.assertTrue(loaded.serves_clients)
         self.assertEqual((loaded.peers, loaded.seeds), ("10.1.0.4:7360", ("10.1.0.5:7360",)))
 
+    def test_reads_limits_of_objects_and_of_memory(self) -> None:
+        text = self.TEXT + "value_bytes = 5000\n[limits]\nmemory_mb = 300\n"
+        loaded = self.load(text)
+        self.assertEqual((loaded.max_object_bytes, loaded.memory_bytes), (5000, 300 * 1024 * 1024))
+
     def test_error_names_missing_field(self) -> None:
         with self.assertRaisesRegex(ConfigError, "provider"):
             self.load(self.TEXT.replace("[provider]", "[other]"))
