Limit the responses to generations in the product's own daemon

The response itself counts its bytes now, at the one place through which all chunks pass, and fails above what the tokens that the caller asked for may take. Plain responses, which are only passed on, stay without a limit.

--- a/acaciarill/callers/_generate.py
+++ b/acaciarill/callers/_generate.py
@@ -9,7 +9,7 @@
 import orjson
 
 from ..errors import BadRequestError, Step
-from ..upstreams import UpstreamRequest
+from ..upstreams import UpstreamRequest, generation_limit_bytes
 from ..upstreams.const import AFFINITY_PREFIX_CHARACTERS
 from .const import DEFAULT_COST_TOKENS, MAX_TOKENS_PER_REQUEST, TAIL_TRIM_THRESHOLD_BYTES
 
@@ -71,6 +71,7 @@
     request.path = "/generate"
     request.affinity = cache_salt(request.customer) + generate.prompt[:AFFINITY_PREFIX_CHARACTERS]
     request.headers = [(b"content-type", b"application/json")]
+    request.max_response_bytes = generation_limit_bytes(generate.max_tokens)
     return generate
 
 
--- a/acaciarill/trainers/_producer.py
+++ b/acaciarill/trainers/_producer.py
@@ -16,7 +16,7 @@
 from ..peers import messages
 from ..scorers import ScorerClient
 from ..telemetry import Telemetry
-from ..upstreams import Dispatcher, RetryBudget, UpstreamRequest
+from ..upstreams import Dispatcher, RetryBudget, UpstreamRequest, generation_limit_bytes
 from ..upstreams.const import AFFINITY_PREFIX_CHARACTERS
 from ..usage import UsageCounter
 from ._stragglers import GenerationResponse, HedgedGeneration, hedge_delay_s
@@ -275,6 +275,7 @@
             deadline=self.clock() + GENERATION_TIMEOUT_S,
             idempotent=True,
             affinity=salt + state.spec.prompt[:AFFINITY_PREFIX_CHARACTERS],
+            max_response_bytes=generation_limit_bytes(state.spec.max_tokens),
         )
 
     def _read_sample(self, state: GroupState, index: int, response: GenerationResponse) -> Any:
--- a/acaciarill/upstreams/__init__.py
+++ b/acaciarill/upstreams/__init__.py
@@ -3,7 +3,7 @@
 from ._client import UpstreamClient, filter_request_headers
 from ._coordinator import UpstreamCoordinator
 from ._dispatch import Dispatcher
-from ._messages import UpstreamRequest, UpstreamResponse
+from ._messages import UpstreamRequest, UpstreamResponse, generation_limit_bytes
 from ._orders import OrderSender
 from ._retry_budget import RetryBudget
 from ._routing import UpstreamState, choose_upstream
@@ -19,4 +19,5 @@
     "UpstreamState",
     "choose_upstream",
     "filter_request_headers",
+    "generation_limit_bytes",
 ]
--- a/acaciarill/upstreams/_client.py
+++ b/acaciarill/upstreams/_client.py
@@ -153,4 +153,5 @@
             response.aclose,
             attempt_id,
             upstream.name,
+            request.max_response_bytes,
         )
--- a/acaciarill/upstreams/_dispatch.py
+++ b/acaciarill/upstreams/_dispatch.py
@@ -180,6 +180,7 @@
             frames.aclose,
             request.request_id,
             name,
+            request.max_response_bytes,
         )
 
     async def serve_forward(self, message: Any) -> AsyncIterator[dict[str, Any]]:
--- a/acaciarill/upstreams/_messages.py
+++ b/acaciarill/upstreams/_messages.py
@@ -6,10 +6,16 @@
 import httpx
 
 from ..errors import AcaciarillError, Outcome, Step, UpstreamError
+from .const import MAX_BYTES_PER_TOKEN, RECORD_OVERHEAD_BYTES
 
 Headers = list[tuple[bytes, bytes]]
 
 
+def generation_limit_bytes(max_tokens: int) -> int:
+    """Return how long the response to a generation of some tokens may be, in bytes."""
+    return RECORD_OVERHEAD_BYTES + max_tokens * MAX_BYTES_PER_TOKEN
+
+
 @dataclass(slots=True)
 class UpstreamRequest:
     """Describe a request to the upstreams of `target`.
@@ -17,7 +23,8 @@
     `deadline` is in seconds on the daemon's clock. `upstream` and `attempt_id` belong to the
     latest attempt. `may_have_run` is set once any attempt may have been executed by its upstream.
     `affinity` maps the request to the upstreams that probably cache its prompt prefix;
-    `may_forward` allows forwarding to another daemon.
+    `may_forward` allows forwarding to another daemon. `max_response_bytes` limits the body of the
+    response, if it is not 0.
     """
 
     request_id: str
@@ -32,6 +39,7 @@
     affinity: str = ""
     trace_parent: str = ""
     may_forward: bool = True
+    max_response_bytes: int = 0
     tried_upstreams: set[str] = field(default_factory=set)
     upstream: str = ""
     attempt_id: str = ""
@@ -53,8 +61,8 @@
     """Hold the status and headers of a response and stream its body.
 
     For a forwarded request, `attempt_id` is the id of the request and `upstream` the name of the
-    daemon that served it. `on_end` is called once: with False when the response was cut short,
-    else with True, also when it is closed before its end.
+    daemon that served it. `on_end` is called once: with False when the response was cut short or is
+    longer than `max_bytes`, else with True, also when it is closed before its end.
     """
 
     __slots__ = (
@@ -63,6 +71,8 @@
         "attempt_id",
         "upstream",
         "on_end",
+        "max_bytes",
+        "received_bytes",
         "_first_chunk",
         "_remaining_chunks",
         "_close",
@@ -76,12 +86,15 @@
         close: Callable[[], Awaitable[None]],
         attempt_id: str = "",
         upstream: str = "",
+        max_bytes: int = 0,
     ) -> None:
         self.status = status
         self.headers = headers
         self.attempt_id = attempt_id
         self.upstream = upstream
         self.on_end: Callable[[bool], None] | None = None
+        self.max_bytes = max_bytes
+        self.received_bytes = 0
         self._first_chunk: bytes | None = None
         self._remaining_chunks = remaining_chunks
         self._close = close
@@ -91,7 +104,7 @@
         self._first_chunk = await self._next_chunk()
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body; raise AcaciarillError when it is cut short."""
+        """Yield the chunks of the body; raise AcaciarillError when it is cut short or too long."""
         chunk = self._first_chunk if self._first_chunk is not None else await self._next_chunk()
         while chunk:
             yield chunk
@@ -111,6 +124,14 @@
             ) from error
         if not chunk:
             self._notify_end(True)
+        self.received_bytes += len(chunk)
+        if self.max_bytes and self.received_bytes > self.max_bytes:
+            self._notify_end(False)
+            raise UpstreamError(
+                f"the response is longer than {self.max_bytes} bytes",
+                step=Step.RECEIVE,
+                peer=self.upstream,
+            )
         return chunk
 
     def _notify_end(self, complete: bool) -> None:
@@ -119,7 +140,7 @@
             on_end(complete)
 
     async def read(self) -> bytes:
-        """Return the whole body; raise AcaciarillError when it is cut short."""
+        """Return the whole body; raise AcaciarillError when it is cut short or too long."""
         return b"".join([chunk async for chunk in self.chunks()])
 
     async def aclose(self) -> None:
--- a/acaciarill/upstreams/const.py
+++ b/acaciarill/upstreams/const.py
@@ -34,6 +34,11 @@
 MAX_ATTEMPTS = 4
 """Number of attempts of a request, the first one included."""
 
+MAX_BYTES_PER_TOKEN = 1024
+"""Limit of what a token takes in a generation's response, as text and in records of its own."""
+RECORD_OVERHEAD_BYTES = 64 * 1024
+"""Room in a generation's response for what does not grow with its tokens."""
+
 MAX_CONNECTIONS_PER_POOL = 512
 MAX_IDLE_CONNECTIONS_PER_POOL = 16
 KEEPALIVE_EXPIRY_S = 15.0
