Check addresses where they are decoded: an unreadable one stopped all batches

What callers saw: one entry among those of the replicas had an address that could not be read.

Cause: of an address it was checked that it has a host and digits. The connect failed to encode the host's name, which is a ValueError and so became no UpstreamError: it ended the task group of all items of the batch and was not held against the upstream, which was chosen again at once.

The mend: check_address decodes an address at one place, for entries, settings, the configuration and connects; a connect to anything else did not run, as for any other failed connect. An unexpected error of one attempt costs only that attempt and counts against its upstream, so whatever is still unforeseen can't stop the other items.

Related paths: a port out of range (a group of errors of the connect) and links to other daemons.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -43,6 +43,7 @@
     UNLIMITED_ATTEMPT_S,
 )
 
+ATTEMPT_BROKEN = "unexpected error"
 STATUS_OK = 200
 STATUS_UNPROCESSABLE = 422
 STATUS_SERVER_ERROR = 500
@@ -327,6 +328,16 @@
             state.record_failure(ports.clock())
             ports.sender.pool.close_idle_connections(state.upstream.address)
             return 0, error.message
+        except Exception as error:  # a fault of one attempt must not stop the batch's other items
+            state.record_failure(ports.clock())
+            log_message(
+                message_type="item:attempt_broken",
+                batch=self.batch_id,
+                request=item.id,
+                upstream=state.upstream.id,
+                error=repr(error),
+            )
+            return 0, ATTEMPT_BROKEN
         finally:
             ports.scheduler.active_streams.remove(stream)
 
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -10,7 +10,7 @@
 import anyio.abc
 import h11
 
-from ..addresses import split_address
+from ..addresses import check_address, split_address
 from ..errors import Outcome, Step, UpstreamError
 from .const import (
     CONNECT_TIMEOUT_S,
@@ -43,6 +43,9 @@
     OSError,
 )
 
+_CONNECT_ERRORS = (OSError, TimeoutError, ValueError)
+"""An address that is not `ip:port` raises the last one."""
+
 
 @dataclass(slots=True)
 class ResponseHead:
@@ -272,11 +275,9 @@
 
     async def is_refused(self, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
         """Return whether no process listens at an address; False if that is not known in time."""
-        host, port = split_address(address)
         try:
-            with anyio.fail_after(timeout_s):
-                stream = await anyio.connect_tcp(host, port)
-        except (OSError, TimeoutError) as error:
+            stream = await _open_stream(address, timeout_s)
+        except _CONNECT_ERRORS as error:
             return _is_refusal(error)
         await anyio.aclose_forcefully(stream)
         return False
@@ -310,11 +311,9 @@
         return None
 
     async def _connect(self, address: str) -> _Connection:
-        host, port = split_address(address)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, port)
-        except (OSError, TimeoutError) as error:
+            stream = await _open_stream(address, CONNECT_TIMEOUT_S)
+        except _CONNECT_ERRORS as error:
             refused = _is_refusal(error)
             raise UpstreamError(
                 "connection was refused" if refused else "connection attempt failed or timed out",
@@ -362,7 +361,14 @@
         return True
 
 
-def _is_refusal(error: OSError | TimeoutError) -> bool:
+async def _open_stream(address: str, timeout_s: float) -> anyio.abc.SocketStream:
+    """Connect to an address; raise one of _CONNECT_ERRORS."""
+    host, port = split_address(check_address(address))
+    with anyio.fail_after(timeout_s):
+        return await anyio.connect_tcp(host, port)
+
+
+def _is_refusal(error: Exception) -> bool:
     return isinstance(error.__cause__ or error, ConnectionRefusedError)
 
 
--- a/acaciarill/peers/_links.py
+++ b/acaciarill/peers/_links.py
@@ -9,7 +9,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from eliot import log_message
 
-from ..addresses import split_address
+from ..addresses import check_address, split_address
 from ..errors import BadRequestError, Outcome, PeerError, Step
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
@@ -146,13 +146,13 @@
             link = self.links_by_address.get(address)
             if link is not None and link.is_open:
                 return link
-            host, port = split_address(address)
             try:
+                host, port = split_address(check_address(address))
                 with anyio.fail_after(CONNECT_TIMEOUT_S):
                     stream = await self._open_stream(host, port)
                     frame_stream = FrameStream(stream)
                     await frame_stream.send(messages.Frame(call_id=0, greeting=self.greeting))
-            except (TimeoutError, *CONNECTION_ERRORS) as error:
+            except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
                 raise PeerError(
                     "cannot connect to the daemon",
                     step=Step.CONNECT,
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -7,6 +7,7 @@
 import orjson
 from eliot import log_message
 
+from ..addresses import check_address
 from ..batches import Item, ResultPage, ScoreRequest, StreamEvent, Submission
 from ..batches.const import STATE_FAILED
 from ..edge import EdgeLimits, check_event_size
@@ -137,14 +138,11 @@
         if value["state"] not in (UPSTREAM_STATE_READY, UPSTREAM_STATE_DRAINING):
             raise ValueError(f"unknown state {value['state']!r}")
         models = value.get("models") or []
-        host, _, port = value["address"].rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"address {value['address']!r} is not host:port")
         return Upstream(
             id=record.name,
             lifetime=f"{record.name}/{value.get('born', '')}",
             service=_require_string(value["service"]),
-            address=value["address"],
+            address=check_address(_require_string(value["address"])),
             data_centre=_require_string(value["zone"]),
             slots=_require_integer(value["slots"]),
             draining=value["state"] == UPSTREAM_STATE_DRAINING,
--- a/acaciarill/validation.py
+++ b/acaciarill/validation.py
@@ -1,28 +1,22 @@
 """Provide the validators shared by the settings and the configuration document."""
 
-import ipaddress
 from typing import Any
 from urllib.parse import urlsplit
 
 import voluptuous as vol
 
+from .addresses import check_address
 from .errors import ConfigFault
 
-MAX_PORT = 65535
-
 
 def ip_address_and_port(value: Any) -> str:
     """Accept `ip:port` with a literal IP address; raise Invalid otherwise."""
-    if not isinstance(value, str) or ":" not in value:
+    if not isinstance(value, str):
         raise vol.Invalid("expected ip:port")
-    host, _, port_text = value.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        return check_address(value)
     except ValueError as error:
-        raise vol.Invalid(f"expected a literal IP address, got {host!r}") from error
-    if not port_text.isdigit() or not 0 < int(port_text) <= MAX_PORT:
-        raise vol.Invalid(f"expected a port from 1 to {MAX_PORT}, got {port_text!r}")
-    return value
+        raise vol.Invalid(str(error)) from error
 
 
 def http_url(value: Any) -> str:
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -126,6 +126,18 @@
             return
         self.assertIsNone(decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {field: value})))
 
+    # review/3: an address that no connection can be opened to was taken for an upstream's.
+    def test_unreadable_address_is_rejected(self) -> None:
+        for address in (
+            "\ufffd7.\ufffd.1.4:8080",
+            "10.0.0.1:65536",
+            "10.0.0.1:" + "9" * 5000,
+            "h:80",
+        ):
+            self.assertIsNone(
+                decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {"address": address}))
+            )
+
     def test_missing_field_and_unknown_state_are_rejected(self) -> None:
         for field in ("service", "address", "zone", "slots", "state", "version"):
             value = {key: item for key, item in UPSTREAM_ENTRY.items() if key != field}
