Let the fake batches declare as many tokens as their texts have events

Two tests (a new owner resumes generations from a checkpoint, items hold events of one version) failed since texts end at the tokens that their item allows: their items declared 10 tokens in all, and the fake engines sent 60 events and more. The protocol says that `tokens` is the sum of the prompt's tokens and the most output tokens, and an event has one token at least, so the fakes were wrong. The tests check what they checked before.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -16,6 +16,8 @@
 JSON = [(b"Content-Type", b"application/json")]
 EVENT_INTERVAL_S = 0.005
 WEIGHT_LOAD_S = 0.05
+ITEM_TOKENS = 4000
+"""At least as many as the longest text in these tests has events."""
 
 
 class FakeServer:
@@ -389,7 +391,7 @@
             "path": f"/b/x/{n}",
             "headers": {"X-Acaciarill-Model": "m"},
             "body": base64.b64encode(f"body {n}".encode()).decode(),
-            "tokens": 10,
+            "tokens": ITEM_TOKENS,
             "group": f"g{n // 2}",
             "scorer_url": {
                 "id": f"score-{prefix}{n}",
