Decode the store's objects one by one: an odd entry stopped the whole list

A value nested some hundred levels deep passed, and failed when the mirror was encoded for a peer.

The mend: objects are decoded one by one. If the whole response cannot be decoded, its bytes are split at quotes and brackets, without recursion, and each object is decoded by itself. What cannot be decoded is a fault of its object; the mirror, the one place through which all kinds go, treats an object with a fault, or one that the decoder of its kind refuses, as missing, names it once in a log line and counts it. Decoders of records raise instead of returning None, so the reason is known. Numbers have a range, and optional fields a type.

Ruled out: that a process ends by it. MirrorFollower ended on other errors than StoreError, but these entries all raised one; a response that is malformed as a whole or a peer's malformed mirror would have, and are typed errors now.

--- a/acaciarill/batches/_heads.py
+++ b/acaciarill/batches/_heads.py
@@ -53,6 +53,8 @@
             return None
         record = Record(batch_id, stored[1], orjson.loads(stored[0]))
         self.mirror.put(record)
+        if batch_id not in self.mirror.records:
+            raise StoreError("head is unreadable", step=Step.STORE, peer=batch_id)
         return self.mirror.records[batch_id]
 
     async def update(self, batch_id: str, record: Record, head: BatchHead) -> bool:
--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -75,7 +75,7 @@
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "BatchHead":
-        """Create a head from its decoded JSON."""
+        """Create a head from its decoded JSON; raise TypeError if it has other fields."""
         return cls(**value)
 
 
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -93,6 +93,7 @@
             settings.role,
             self.clock,
             self.wall_clock.now,
+            self.metrics.count_unreadable,
         )
         self._build_peers()
         self._build_serving()
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -71,6 +71,17 @@
             registry=self.registry,
         )
 
+        self.unreadable = Counter(
+            "acaciarill_unreadable_objects",
+            "Versions of stored objects that could not be decoded, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
+
+    def count_unreadable(self, kind: str) -> None:
+        """Count one version of a stored object that could not be decoded."""
+        self.unreadable.labels(kind).inc()
+
     def watch_texts(self, texts: TextCache) -> None:
         """Report the bytes that a cache holds whenever the metrics are read."""
         self.text_bytes.labels("unfinished").set_function(lambda: texts.text_bytes)
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -4,11 +4,13 @@
 
 from eliot import log_message
 
+from ..addresses import check_address
+from ..batches import BatchHead
 from ..batches.const import KIND_HEADS
 from ..control import FleetDemand
 from ..fleet import ROLE_FRONT, Configuration, Member, Members, Upstream, UpstreamTable
 from ..fleet.const import VIEW_CONFIRMED_WITHIN_S
-from ..mirrors import KindSource, Mirror, MirrorFollower
+from ..mirrors import KindSource, Mirror, MirrorFollower, Record
 from ..mirrors.const import (
     LISTING_RETRY_DELAY_FRONT_S,
     WATCH_RETRY_DELAY_S,
@@ -36,6 +38,7 @@
         role: str,
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
+        on_unreadable: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self.ports = ports
         self.members = members
@@ -45,6 +48,7 @@
         self.wall_clock = wall_clock
         self.configuration: Configuration | None = None
         self.published_versions: dict[str, int] = {}
+        self.decoded_upstreams: dict[str, tuple[int, Upstream]] = {}
         self.missing_upstreams: dict[str, tuple[Upstream, float]] = {}
         self.configuration_listeners: list[Callable[[], None]] = []
         kinds = ports.kinds
@@ -56,9 +60,16 @@
             KIND_MEMBERS,
             KIND_HEADS,
         )
+        checks: dict[str, Callable[[Record], object]] = {
+            kinds.upstreams: self._decode_upstream,
+            kinds.versions: ports.decode_version,
+            kinds.retirements: ports.is_retirement_completed,
+            KIND_MEMBERS: _decode_member,
+            KIND_HEADS: lambda record: BatchHead.from_value(record.value),
+        }
         self.followers = {
             kind: MirrorFollower(
-                Mirror(kind),
+                Mirror(kind, checks.get(kind, lambda record: None), on_unreadable),
                 store,
                 clock,
                 self._watch_wait_s(kind),
@@ -110,9 +121,19 @@
         for listener in list(self.configuration_listeners):
             listener()
 
+    def _decode_upstream(self, record: Record) -> Upstream:
+        """Return the upstream that an entry registers, decoded once for each of its versions."""
+        version, upstream = self.decoded_upstreams.get(record.name, (None, None))
+        if upstream is None or version != record.version:
+            upstream = self.ports.decode_upstream(record)
+            self.decoded_upstreams[record.name] = record.version, upstream
+        return upstream
+
     def _update_upstreams(self) -> None:
         records = self.mirror(self.ports.kinds.upstreams).records
-        registered = [u for record in records.values() if (u := self.ports.decode_upstream(record))]
+        for name in self.decoded_upstreams.keys() - records.keys():
+            del self.decoded_upstreams[name]
+        registered = [self._decode_upstream(record) for record in records.values()]
         registered_ids = {upstream.id for upstream in registered}
         follower = self.followers[self.ports.kinds.upstreams]
         now = self.clock()
@@ -160,19 +181,18 @@
                 del self.missing_upstreams[upstream_id]
 
     def _update_versions(self) -> None:
-        versions = self.ports.decode_versions(self.mirror(self.ports.kinds.versions).records)
+        versions: dict[str, int] = {}
+        for record in self.mirror(self.ports.kinds.versions).records.values():
+            model, version = self.ports.decode_version(record)
+            versions[model] = max(version, versions.get(model, version))
         if versions != self.published_versions:
             log_message(message_type="weights:published", versions=versions)
         self.published_versions = versions
 
     def _update_members(self) -> None:
-        registered = []
-        for record in self.mirror(KIND_MEMBERS).records.values():
-            value = record.value
-            registered.append(
-                Member(record.name, value["address"], value["data_centre"], value["role"], True)
-            )
-        self.members.update_registered(registered)
+        self.members.update_registered(
+            [_decode_member(record) for record in self.mirror(KIND_MEMBERS).records.values()]
+        )
 
     def count_upstreams(self, service: str) -> dict[str, int]:
         """Return the number of regular, serving upstreams of a service by data centre."""
@@ -202,3 +222,10 @@
                 requests += head["total"]
         slots = [state.upstream.slots for state in self.table.states_for(service)]
         return FleetDemand(requests, max(slots, default=1))
+
+
+def _decode_member(record: Record) -> Member:
+    """Return the daemon that an entry registers; raise one of DECODE_ERRORS."""
+    value = record.value
+    address = check_address(value["address"])
+    return Member(record.name, address, str(value["data_centre"]), str(value["role"]), True)
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -194,15 +194,15 @@
             if follower.mirror.newest >= newest:
                 return
             call = messages.FetchView(kind=kind)
-            frame = await self.links.call(address, fetch_view=call)
+            data = (await self.links.call(address, fetch_view=call)).view_data
+            records = Mirror.decode(data.records)
         except PeerError as error:
             log_message(message_type="mirror:fetch_failed", kind=kind, reason=error.message)
             return
         finally:
             self.fetching_kinds.discard(kind)
-        data = frame.view_data
         previous_newest = follower.mirror.newest
-        if follower.replace_from_peer(data.position, Mirror.decode(data.records), data.newest):
+        if follower.replace_from_peer(data.position, records, data.newest):
             log_message(
                 message_type="mirror:fetched",
                 kind=kind,
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -50,14 +50,17 @@
 
 @dataclass(slots=True)
 class FleetPorts:
-    """Hold the functions that translate between this daemon and its platform."""
+    """Hold the functions that translate between this daemon and its platform.
+
+    Those that decode a single record raise one of `mirrors.DECODE_ERRORS` if it is malformed.
+    """
 
     kinds: FleetKinds
     store: Callable[[StoreChannel], "FleetStore"]
     codec: UpstreamCodec
     decode_configuration: Callable[[dict[str, Record]], Configuration | None]
-    decode_upstream: Callable[[Record], Upstream | None]
-    decode_versions: Callable[[dict[str, Record]], dict[str, int]]
+    decode_upstream: Callable[[Record], Upstream]
+    decode_version: Callable[[Record], tuple[str, int]]
     decode_submission: Callable[[bytes], Submission]
     event_reader: Callable[[], Callable[[bytes], list[StreamEvent]]]
     request_handler: Callable[["FleetDaemon"], Callable[[Request, Responder], Awaitable[None]]]
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -9,20 +9,29 @@
 import orjson
 from eliot import log_message
 
-from ..errors import StoreError, StoreHistoryGoneError
+from ..errors import PeerError, Step, StoreError, StoreHistoryGoneError
 from .const import HISTORY_MAX_ENTRIES, MIN_OUTAGE_S, WATCH_RETRY_DELAY_S, WATCH_WAIT_S
 
 Listener = Callable[[], None]
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, IndexError)
+"""Errors with which the decoding of a value from outside may fail."""
+MAX_FAULT_CHARACTERS = 200
+ROW_LENGTHS = (4, 5)
+"""Lengths of an encoded object, and of one with whether it was deleted."""
 
 
 @dataclass(slots=True)
 class Record:
-    """Hold one stored object; `value` is its specification and `status` its reported status."""
+    """Hold one stored object; `value` is its specification and `status` its reported status.
+
+    `fault` says why they could not be decoded, if so.
+    """
 
     name: str
     version: int
     value: Any
     status: Any = None
+    fault: str = ""
 
 
 @dataclass(slots=True)
@@ -49,10 +58,21 @@
     `newest` is the version of the latest applied change. Unlike `position`, it is equal at all
     daemons that applied the same changes, so it shows which daemon is behind. `history` holds
     every change after `history_start`, for the daemons that follow this one.
+
+    Objects that are unreadable, or for which `check` raises one of DECODE_ERRORS, count as missing.
+    `on_unreadable` is called with the kind for each version of such an object.
     """
 
-    def __init__(self, kind: str) -> None:
+    def __init__(
+        self,
+        kind: str,
+        check: Callable[[Record], object] = lambda record: None,
+        on_unreadable: Callable[[str], None] = lambda kind: None,
+    ) -> None:
         self.kind = kind
+        self.check = check
+        self.on_unreadable = on_unreadable
+        self.unreadable_versions: dict[str, int] = {}
         self.records: dict[str, Record] = {}
         self.position = 0
         self.newest = 0
@@ -75,7 +95,11 @@
         if self.loaded and position < self.position:
             return False
         previous_records = self.records
-        self.records = {record.name: record for record in records}
+        names = {record.name for record in records}
+        self.unreadable_versions = {
+            name: version for name, version in self.unreadable_versions.items() if name in names
+        }
+        self.records = {record.name: record for record in records if self._is_readable(record)}
         for name, record in previous_records.items():
             replacement = self.records.get(name)
             if record.version > (position if replacement is None else replacement.version):
@@ -91,6 +115,7 @@
 
     def apply(self, position: int, changes: list[Change]) -> None:
         """Apply the changes of a watch in order, except those older than the mirrored object."""
+        changes = [self._without_unreadable(change) for change in changes]
         for change in changes:
             self.newest = max(self.newest, change.record.version)
             current = self.records.get(change.record.name)
@@ -105,6 +130,40 @@
             self._append_history(changes)
             self._notify()
 
+    def _without_unreadable(self, change: Change) -> Change:
+        """Return the change, as a deletion if the new state of its object is unreadable."""
+        if change.deleted:
+            self.unreadable_versions.pop(change.record.name, None)
+        elif not self._is_readable(change.record):
+            return Change(change.record, deleted=True)
+        return change
+
+    def _is_readable(self, record: Record) -> bool:
+        """Return whether an object can be used; log and count each version that cannot."""
+        fault = record.fault or self._find_fault(record)
+        if not fault:
+            self.unreadable_versions.pop(record.name, None)
+            return True
+        if self.unreadable_versions.get(record.name) != record.version:
+            self.unreadable_versions[record.name] = record.version
+            self.on_unreadable(self.kind)
+            log_message(
+                message_type="mirror:object_unreadable",
+                kind=self.kind,
+                name=record.name,
+                version=record.version,
+                reason=fault,
+                action="treat it as missing until it changes",
+            )
+        return False
+
+    def _find_fault(self, record: Record) -> str:
+        try:
+            self.check(record)
+        except DECODE_ERRORS as error:
+            return repr(error)[:MAX_FAULT_CHARACTERS]
+        return ""
+
     def _append_history(self, changes: list[Change]) -> None:
         self.last_change_position = self.position
         self.history.append((self.position, changes))
@@ -129,6 +188,8 @@
         """Apply one object that this daemon has written or read, unless it is older."""
         current = self.records.get(record.name)
         self.newest = max(self.newest, record.version)
+        if not self._is_readable(record):
+            return
         if current is None or current.version < record.version:
             self.records[record.name] = record
             self._notify()
@@ -139,8 +200,8 @@
 
     @staticmethod
     def decode(data: bytes) -> list[Record]:
-        """Decode the result of `encode`."""
-        return [Record(*row) for row in orjson.loads(data)]
+        """Decode the result of `encode`; raise PeerError if it is malformed."""
+        return [Record(*row) for row in _decode_rows(data)]
 
     @staticmethod
     def encode_changes(changes: list[Change]) -> bytes:
@@ -149,14 +210,26 @@
 
     @staticmethod
     def decode_changes(data: bytes) -> list[Change]:
-        """Decode the result of `encode_changes`."""
-        return [Change(Record(*row[:4]), row[4]) for row in orjson.loads(data)]
+        """Decode the result of `encode_changes`; raise PeerError if it is malformed."""
+        return [Change(Record(*row[:4]), row[4]) for row in _decode_rows(data)]
 
     def _notify(self) -> None:
         for listener in list(self.listeners):
             listener()
 
 
+def _decode_rows(data: bytes) -> list[list[Any]]:
+    try:
+        rows = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise PeerError(f"mirror is malformed: {error}", step=Step.PARSE) from error
+    if not isinstance(rows, list) or not all(
+        isinstance(row, list) and len(row) in ROW_LENGTHS for row in rows
+    ):
+        raise PeerError("mirror has rows of another form", step=Step.PARSE)
+    return rows
+
+
 def _to_row(record: Record) -> tuple[str, int, Any, Any]:
     return record.name, record.version, record.value, record.status
 
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -34,6 +34,8 @@
 )
 
 MS_PER_S = 1000
+MAX_INTEGER = 2**63 - 1
+"""Limit of integers, which are sent to peers as 64-bit ones."""
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.ONCE,
@@ -131,31 +133,32 @@
     )
 
 
-def decode_upstream(record: Record) -> Upstream | None:
-    """Return the upstream that a stored entry registers, or None if the entry is malformed."""
+def decode_upstream(record: Record) -> Upstream:
+    """Return the upstream that a stored entry registers; raise one of DECODE_ERRORS."""
     value = record.value
-    try:
-        if value["state"] not in (UPSTREAM_STATE_READY, UPSTREAM_STATE_DRAINING):
-            raise ValueError(f"unknown state {value['state']!r}")
-        models = value.get("models") or []
-        return Upstream(
-            id=record.name,
-            lifetime=f"{record.name}/{value.get('born', '')}",
-            service=_require_string(value["service"]),
-            address=check_address(_require_string(value["address"])),
-            data_centre=_require_string(value["zone"]),
-            slots=_require_integer(value["slots"]),
-            draining=value["state"] == UPSTREAM_STATE_DRAINING,
-            versions={
-                _require_string(model["name"]): _require_integer(model["version"])
-                for model in models
-            },
-            cheap=bool(value.get("spot", False)),
-            software_version=_require_string(value["version"]),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        log_message(message_type="upstream:unreadable", entry=record.name, reason=repr(error))
-        return None
+    if value["state"] not in (UPSTREAM_STATE_READY, UPSTREAM_STATE_DRAINING):
+        raise ValueError(f"unknown state {value['state']!r}")
+    born, models = value.get("born"), value.get("models")
+    return Upstream(
+        id=record.name,
+        lifetime=f"{record.name}/{'' if born is None else _require_integer(born)}",
+        service=_require_string(value["service"]),
+        address=check_address(_require_string(value["address"])),
+        data_centre=_require_string(value["zone"]),
+        slots=_require_integer(value["slots"]),
+        draining=value["state"] == UPSTREAM_STATE_DRAINING,
+        versions={
+            _require_string(model["name"]): _require_integer(model["version"])
+            for model in ([] if models is None else _require_list(models))
+        },
+        cheap=_require_boolean(value.get("spot", False)),
+        software_version=_require_string(value["version"]),
+    )
+
+
+def decode_published_version(record: Record) -> tuple[str, int]:
+    """Return a model and its published weight version; raise one of DECODE_ERRORS."""
+    return _require_string(record.value["model"]), _require_integer(record.value["version"])
 
 
 def _require_string(value: Any) -> str:
@@ -167,20 +170,21 @@
 def _require_integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"expected an integer, got {value!r}")
+    if not 0 <= value <= MAX_INTEGER:
+        raise ValueError(f"expected an integer from 0 to {MAX_INTEGER}, got {value}")
     return value
 
 
-def decode_published_versions(records: dict[str, Record]) -> dict[str, int]:
-    """Return the newest published weight version of each model; skip malformed records."""
-    versions: dict[str, int] = {}
-    for record in records.values():
-        try:
-            versions[_require_string(record.value["model"])] = _require_integer(
-                record.value["version"]
-            )
-        except (KeyError, TypeError) as error:
-            log_message(message_type="weights:unreadable", entry=record.name, reason=repr(error))
-    return versions
+def _require_boolean(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"expected true or false, got {value!r}")
+    return value
+
+
+def _require_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise TypeError(f"expected a list, got {value!r}")
+    return value
 
 
 def decode_submission(body: bytes) -> Submission:
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -15,7 +15,7 @@
 from ._decode import (
     EventReader,
     decode_configuration,
-    decode_published_versions,
+    decode_published_version,
     decode_submission,
     decode_upstream,
 )
@@ -65,7 +65,7 @@
         codec=UPSTREAM_CODEC,
         decode_configuration=decode_configuration,
         decode_upstream=decode_upstream,
-        decode_versions=decode_published_versions,
+        decode_version=decode_published_version,
         decode_submission=decode_submission,
         event_reader=EventReader,
         request_handler=request_handler,
--- a/acaciarill/platform/_store.py
+++ b/acaciarill/platform/_store.py
@@ -1,6 +1,7 @@
 """Read, write, list and watch objects in the platform's metadata store over HTTP."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import orjson
@@ -8,9 +9,12 @@
 from ..errors import Outcome, Step, StoreConflictError, StoreError, StoreHistoryGoneError
 from ..fleet import StoreChannel
 from ..fleet.const import WATCH_TIMEOUT_MARGIN_S
-from ..mirrors import Change, Record
+from ..mirrors import DECODE_ERRORS, Change, Record
+from ._objects import decode_changes, decode_listing, decode_object
 
 MS_PER_S = 1000
+MAX_REASON_CHARACTERS = 200
+T = TypeVar("T")
 
 
 class PlatformStore:
@@ -24,7 +28,9 @@
         status, body = await self.channel.call("GET", _object_path(key))
         if status == 404:
             return None
-        record = _decode_record(self._decode_body(status, body, key))
+        record = _decode_response(status, body, key, decode_object)
+        if record.fault:
+            raise StoreError(f"object is unreadable: {record.fault}", step=Step.STORE, peer=key)
         return orjson.dumps(record.value), record.version
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
@@ -45,7 +51,7 @@
             raise StoreConflictError(
                 "object does not have the expected version", step=Step.STORE, peer=key
             )
-        return _decode_record(self._decode_body(status, body, key)).version
+        return _decode_response(status, body, key, decode_object).version
 
     async def put_status(self, key: str, version: int, value: Any) -> None:
         """Replace the status of an object whose version is `version`; raise StoreError."""
@@ -56,13 +62,13 @@
             raise StoreConflictError(
                 "object does not have the expected version", step=Step.STORE, peer=key
             )
-        self._decode_body(status, body, key)
+        _check_status(status, key)
 
     async def delete(self, key: str) -> None:
         """Delete an object if it exists; raise StoreError."""
         status, body = await self.channel.call("DELETE", _object_path(key))
         if status != 404:
-            self._decode_body(status, body, key)
+            _check_status(status, key)
 
     async def list_kind(self, kind: str) -> tuple[int, list[Record]]:
         """Return all objects of a kind and the revision to watch from; raise StoreError."""
@@ -74,14 +80,14 @@
             if after:
                 target += f"?after={quote(after, safe='')}"
             status, body = await self.channel.call("GET", target)
-            page = self._decode_body(status, body, kind)
+            page = _decode_response(status, body, kind, decode_listing)
             # A watch starts from the first page's revision, so that it repeats the changes that
             # were made between two pages.
-            position = position or int(page["current_rev"])
-            records += [record for item in page["items"] if (record := _try_decode_record(item))]
-            if not page.get("has_more") or not page["items"]:
+            position = position or page.position
+            records += page.records
+            if not page.has_more:
                 return position, records
-            after = page["items"][-1]["metadata"]["name"]
+            after = page.records[-1].name
 
     async def list_objects_after(self, kind: str, key: str) -> list[tuple[str, bytes]]:
         """Return the next page of objects after a key, in the order of names; raise StoreError."""
@@ -89,9 +95,12 @@
         status, body = await self.channel.call(
             "GET", f"/objects/{quote(kind, safe='')}?after={after}"
         )
-        page = self._decode_body(status, body, kind)
-        records = [record for item in page["items"] if (record := _try_decode_record(item))]
-        return [(f"{kind}/{record.name}", orjson.dumps(record.value)) for record in records]
+        page = _decode_response(status, body, kind, decode_listing)
+        return [
+            (f"{kind}/{record.name}", orjson.dumps(record.value))
+            for record in page.records
+            if not record.fault
+        ]
 
     async def watch_kind(self, kind: str, position: int, wait_s: float) -> tuple[int, list[Change]]:
         """Wait up to `wait_s` for changes after a revision; raise StoreError.
@@ -107,43 +116,33 @@
             raise StoreHistoryGoneError(
                 "store no longer has all changes since the revision", step=Step.STORE, peer=kind
             )
-        page = self._decode_body(status, body, kind)
-        changes = []
-        for event in page["events"]:
-            record = _try_decode_record(event.get("object"))
-            if record is not None:
-                changes.append(Change(record, bool(event.get("deleted"))))
-        return int(page["current_rev"]), changes
-
-    def _decode_body(self, status: int, body: bytes, key: str) -> Any:
-        if status >= 400:
-            raise StoreError(
-                f"store responded with status {status}",
-                step=Step.STORE,
-                peer=key,
-                outcome=Outcome.NOT_RUN if status < 500 else Outcome.UNKNOWN,
-            )
-        try:
-            return orjson.loads(body)
-        except orjson.JSONDecodeError as error:
-            raise StoreError(
-                "store sent a malformed response", step=Step.STORE, peer=key
-            ) from error
+        return _decode_response(status, body, kind, decode_changes)
 
 
-def _object_path(key: str) -> str:
-    kind, _, name = key.partition("/")
-    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+def _check_status(status: int, key: str) -> None:
+    """Raise StoreError if the store responded with an error."""
+    if status >= 400:
+        raise StoreError(
+            f"store responded with status {status}",
+            step=Step.STORE,
+            peer=key,
+            outcome=Outcome.NOT_RUN if status < 500 else Outcome.UNKNOWN,
+        )
 
 
-def _decode_record(item: Any) -> Record:
-    metadata = item["metadata"]
-    return Record(metadata["name"], int(metadata["rev"]), item.get("spec"), item.get("status"))
+def _decode_response(status: int, body: bytes, key: str, decode: Callable[[bytes], T]) -> T:
+    """Return the decoded body of a response; raise StoreError."""
+    _check_status(status, key)
+    try:
+        return decode(body)
+    except DECODE_ERRORS as error:
+        raise StoreError(
+            f"store sent a malformed response: {error!r}"[:MAX_REASON_CHARACTERS],
+            step=Step.STORE,
+            peer=key,
+        ) from error
 
 
-def _try_decode_record(item: Any) -> Record | None:
-    """Return a stored object, or None if it is malformed."""
-    try:
-        return _decode_record(item)
-    except (KeyError, TypeError, ValueError):
-        return None
+def _object_path(key: str) -> str:
+    kind, _, name = key.partition("/")
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
--- /dev/null
+++ b/acaciarill/untrusted_json.py
@@ -0,0 +1,89 @@
+"""Decode JSON from outside, part by part where the whole cannot be decoded."""
+
+import re
+from typing import Any
+
+import orjson
+
+MAX_NESTING = 100
+"""Values that are nested deeper could be decoded here, but not encoded again for a peer."""
+
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|["\[\]{},:]', re.DOTALL)
+_CLOSING = {b"[": b"]", b"{": b"}"}
+
+
+class UnreadableValueError(ValueError):
+    """Report a value that is not valid JSON or is nested too deep."""
+
+
+def decode_value(data: bytes) -> Any:
+    """Decode a JSON value; raise UnreadableValueError."""
+    try:
+        value = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise UnreadableValueError(str(error)) from error
+    check_nesting(value)
+    return value
+
+
+def check_nesting(value: Any) -> None:
+    """Raise UnreadableValueError if a decoded value is nested deeper than MAX_NESTING."""
+    depth = 0
+    level = [value] if isinstance(value, (dict, list)) else []
+    while level:
+        depth += 1
+        if depth > MAX_NESTING:
+            raise UnreadableValueError(f"value is nested deeper than {MAX_NESTING} levels")
+        level = [
+            child
+            for parent in level
+            for child in (parent.values() if isinstance(parent, dict) else parent)
+            if isinstance(child, (dict, list))
+        ]
+
+
+def split_array(data: bytes) -> list[bytes]:
+    """Return the encoded elements of an array without decoding them."""
+    return [part for _, part in _split(data, b"[")]
+
+
+def split_object(data: bytes) -> dict[str, bytes]:
+    """Return the encoded members of an object without decoding them."""
+    return {decode_value(name): part for name, part in _split(data, b"{")}
+
+
+def _split(data: bytes, opening: bytes) -> list[tuple[bytes, bytes]]:
+    """Return the top-level parts of an array or object with their names, if they have any.
+
+    Only quotes and brackets are read, so the nesting of a part is not limited.
+    """
+    data = data.strip()
+    if not data.startswith(opening):
+        raise UnreadableValueError(f"expected a value that begins with {opening.decode()}")
+    parts: list[tuple[bytes, bytes]] = []
+    open_brackets: list[bytes] = []
+    name = b""
+    begin = 1
+    for token in _TOKEN.finditer(data):
+        text = token[0]
+        if text == b'"':
+            raise UnreadableValueError("a string has no end")
+        if text in _CLOSING:
+            open_brackets.append(_CLOSING[text])
+        elif text in (b"]", b"}"):
+            if not open_brackets or open_brackets.pop() != text:
+                raise UnreadableValueError("brackets do not match")
+        elif len(open_brackets) != 1:
+            continue
+        if len(open_brackets) == 1 and text == b":" and not name:
+            name, begin = data[begin : token.start()].strip(), token.end()
+        elif not open_brackets or (len(open_brackets) == 1 and text == b","):
+            part = data[begin : token.start()].strip()
+            if part:
+                parts.append((name, part))
+            name, begin = b"", token.end()
+        if not open_brackets:
+            if token.end() != len(data):
+                raise UnreadableValueError("bytes follow the end of the value")
+            return parts
+    raise UnreadableValueError("a bracket has no end")
--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -5,6 +5,9 @@
 from types import SimpleNamespace
 from typing import Any
 
+import orjson
+
+from acaciarill.batches import BatchHead
 from acaciarill.edge import EdgeLimits
 from acaciarill.fleet import Configuration, Members, Route, RouteKind, Upstream, UpstreamTable
 from acaciarill.fleet._model import group_routes_by_host
@@ -48,6 +51,8 @@
             decode_upstream=lambda record: Upstream(
                 record.name, record.name, "llm", "10.0.0.1:1", "dc", 8
             ),
+            decode_version=lambda record: (record.value["model"], record.value["version"]),
+            is_retirement_completed=lambda record: False,
         )
         members = Members("f1", "f1", "dc", "front", lambda: self.now)
         self.table = UpstreamTable("dc", lambda: self.now, random.Random(1))
@@ -135,8 +140,8 @@
         self.mirrors.configuration = Configuration(
             1, group_routes_by_host([route]), {}, EdgeLimits(), {}
         )
-        head = {"host": "h", "path": "/b/x", "submitted_at": 0.0, "ended": False, "total": 12}
-        self.mirrors.mirror("batches").replace(1, [Record("b1", 1, head)])
+        head = BatchHead("c", "h", "/b/x", 0.0, 12, 1, "d", "f1").encode()
+        self.mirrors.mirror("batches").replace(1, [Record("b1", 1, orjson.loads(head))])
         self.assertEqual(self.mirrors.demand("llm").requests, 12)
 
     def test_sum_of_all_delays_is_within_the_limit(self) -> None:
--- a/tests/mirrors/test_mirror.py
+++ b/tests/mirrors/test_mirror.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from acaciarill.errors import Step, StoreError, StoreHistoryGoneError
+from acaciarill.errors import PeerError, Step, StoreError, StoreHistoryGoneError
 from acaciarill.mirrors import Change, Mirror, MirrorFollower, Record
 
 
@@ -156,3 +156,49 @@
             mirror.apply(position, [Change(Record("a", 12, None))])
             mirror.apply(position + 5, [])
         self.assertEqual(first.newest, second.newest)
+
+
+class UnreadableObjectTest(unittest.TestCase):
+    """Mirror a kind in which one object cannot be decoded."""
+
+    def setUp(self) -> None:
+        def check(record: Record) -> None:
+            if record.value == "odd":
+                raise ValueError("odd")
+
+        self.counted: list[str] = []
+        self.mirror = Mirror("kind", check, self.counted.append)
+        self.mirror.replace(5, [Record("a", 3, "x"), Record("b", 4, "odd")])
+
+    def test_unreadable_object_is_missing_and_counted_once_for_each_version(self) -> None:
+        self.assertEqual(list(self.mirror.records), ["a"])
+        self.mirror.replace(6, [Record("a", 3, "x"), Record("b", 4, "odd")])
+        self.assertEqual(self.counted, ["kind"])
+        self.mirror.apply(7, [Change(Record("b", 7, None, fault="not JSON"))])
+        self.assertEqual(self.counted, ["kind", "kind"])
+        self.assertEqual(self.mirror.newest, 7)
+
+    def test_object_that_becomes_unreadable_is_removed_here_and_at_followers(self) -> None:
+        follower = Mirror("kind")
+        follower.replace(self.mirror.position, Mirror.decode(self.mirror.encode()))
+        self.mirror.apply(8, [Change(Record("a", 8, None, fault="not JSON"))])
+        changes = self.mirror.changes_after(5)
+        assert changes is not None
+        follower.apply(8, Mirror.decode_changes(Mirror.encode_changes(changes)))
+        self.assertEqual((self.mirror.records, follower.records), ({}, {}))
+
+    def test_object_that_becomes_readable_is_mirrored(self) -> None:
+        self.mirror.apply(9, [Change(Record("b", 9, "y"))])
+        self.assertEqual(self.mirror.records["b"].value, "y")
+        self.assertEqual(self.mirror.unreadable_versions, {})
+
+    def test_versions_of_unreadable_objects_that_are_gone_are_forgotten(self) -> None:
+        self.mirror.replace(9, [Record("a", 3, "x")])
+        self.assertEqual(self.mirror.unreadable_versions, {})
+
+    def test_malformed_mirror_of_a_peer_is_a_peer_error(self) -> None:
+        for data in (b"", b"7", b"[7]", b"[[1]]", b"[" * 2000):
+            with self.subTest(data[:10]), self.assertRaises(PeerError):
+                Mirror.decode(data)
+            with self.subTest(data[:10]), self.assertRaises(PeerError):
+                Mirror.decode_changes(data)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -47,7 +47,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.kinds: dict[str, dict[str, dict[str, Any]]] = {}
-        self.events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.events: list[tuple[int, str, orjson.Fragment, bool]] = []
         self.revision = 1
         self.changed = anyio.Event()
         self.rejects: Callable[[Request], bool] = lambda request: False
@@ -61,6 +61,10 @@
         self.kinds.setdefault(kind, {})[name] = stored
         self._record_change(kind, stored, False)
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose specification is some bytes, as another writer may."""
+        self.put(kind, name, orjson.Fragment(spec))
+
     def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
         self.revision += 1
@@ -79,7 +83,7 @@
         return self.kinds[kind][name]["spec"]
 
     def _record_change(self, kind: str, stored: dict[str, Any], deleted: bool) -> None:
-        self.events.append((self.revision, kind, orjson.loads(orjson.dumps(stored)), deleted))
+        self.events.append((self.revision, kind, orjson.Fragment(orjson.dumps(stored)), deleted))
         self.changed.set()
         self.changed = anyio.Event()
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -13,11 +13,11 @@
 from acaciarill.edge import ResponseHead
 from acaciarill.errors import BadRequestError, ConfigError
 from acaciarill.fleet import Attempt, LoadReport, RouteKind, Upstream
-from acaciarill.mirrors import Record
+from acaciarill.mirrors import DECODE_ERRORS, Record
 from acaciarill.platform._decode import (
     EventReader,
     decode_configuration,
-    decode_published_versions,
+    decode_published_version,
     decode_submission,
     decode_upstream,
     encode_result_page,
@@ -93,6 +93,10 @@
 class UpstreamTest(unittest.TestCase):
     """Test that only valid entries are decoded as upstreams and versions."""
 
+    def assert_unreadable(self, value: object) -> None:
+        with self.assertRaises(DECODE_ERRORS):
+            decode_upstream(Record("i-1", 2, value))
+
     def test_decodes_every_field(self) -> None:
         decoded = decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY))
         self.assertEqual(
@@ -122,9 +126,9 @@
     def test_field_of_wrong_type_is_rejected(self, field: str, value: object) -> None:
         if field == "slots" and isinstance(value, int) and not isinstance(value, bool):
             return
-        if field == "models" and not value:
+        if field == "models" and value is None:
             return
-        self.assertIsNone(decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {field: value})))
+        self.assert_unreadable(UPSTREAM_ENTRY | {field: value})
 
     # review/3: an address that no connection can be opened to was taken for an upstream's.
     def test_unreadable_address_is_rejected(self) -> None:
@@ -134,23 +138,36 @@
             "10.0.0.1:" + "9" * 5000,
             "h:80",
         ):
-            self.assertIsNone(
-                decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {"address": address}))
-            )
+            self.assert_unreadable(UPSTREAM_ENTRY | {"address": address})
 
     def test_missing_field_and_unknown_state_are_rejected(self) -> None:
         for field in ("service", "address", "zone", "slots", "state", "version"):
             value = {key: item for key, item in UPSTREAM_ENTRY.items() if key != field}
-            self.assertIsNone(decode_upstream(Record("i-1", 2, value)))
-        self.assertIsNone(decode_upstream(Record("i-1", 2, UPSTREAM_ENTRY | {"state": "odd"})))
-        self.assertIsNone(decode_upstream(Record("i-1", 2, "bytes")))
-
-    def test_malformed_published_version_is_skipped(self) -> None:
-        records = {
-            "m": Record("m", 1, {"model": "m", "version": 2}),
-            "n": Record("n", 2, {"model": "n", "version": "two"}),
-        }
-        self.assertEqual(decode_published_versions(records), {"m": 2})
+            self.assert_unreadable(value)
+        self.assert_unreadable(UPSTREAM_ENTRY | {"state": "odd"})
+        self.assert_unreadable("bytes")
+
+    def test_numbers_out_of_range_and_other_types_of_optional_fields_are_rejected(self) -> None:
+        odd_fields: list[dict[str, object]] = [
+            {"slots": -1},
+            {"slots": 2**63},
+            {"slots": 1e40},
+            {"born": "yesterday"},
+            {"born": 1.5},
+            {"spot": 1},
+            {"models": {}},
+            {"models": [{"name": "m", "version": 1e40}]},
+            {"models": [["m", 1]]},
+        ]
+        for fields in odd_fields:
+            self.assert_unreadable(UPSTREAM_ENTRY | fields)
+
+    def test_malformed_published_version_is_rejected(self) -> None:
+        valid = Record("m", 1, {"model": "m", "version": 2})
+        self.assertEqual(decode_published_version(valid), ("m", 2))
+        for value in ({"model": "n", "version": "two"}, {"model": "n"}, [], "n", None):
+            with self.assertRaises(DECODE_ERRORS):
+                decode_published_version(Record("n", 2, value))
 
 
 class SubmissionTest(unittest.TestCase):
