Decide whose a response is before anything of it is believed

Cause: an upstream may send a response twice, the second time where the response to the connection's next request is due. The three forwarders read `not_run` first and compared the ids after it, so the second copy of a rejection was taken for the rejection of the stream. The load, the rate limit and the leave in it were recorded even before that.

Ruled out: a rejection by the daemon itself, and one by the engine of this very stream.

The mend: AttemptSender, through which all attempts go, decides whose a response is right after its head was read (belongs_to_request, a pure function). What belongs to another request is an error with an unknown outcome. Without an id, a rejection is believed only on a connection that has carried no other request; a request without an id gets one of its own. The connection of a rejection is still used again, as each new one is priced.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -9,6 +9,7 @@
 
 from ..errors import AcaciarillError, Outcome, Step, UpstreamError
 from ..fleet import (
+    WRONG_RESPONSE,
     Attempt,
     AttemptSender,
     Configuration,
@@ -312,6 +313,7 @@
             return 0, STOP_LIMITED
         attempt = Attempt(
             state.upstream,
+            item.id,
             self._remaining_s(route),
             self.head.customer,
             resume_after=text.last_event_id,
@@ -325,8 +327,9 @@
                 return await self._stream_attempt(item, route, text, stream, attempt)
             return 0, stream.stop_reason
         except UpstreamError as error:
-            state.record_failure(ports.clock())
-            ports.sender.pool.close_idle_connections(state.upstream.address)
+            if error.code != WRONG_RESPONSE:  # the engine works, only this connection is spoilt
+                state.record_failure(ports.clock())
+                ports.sender.pool.close_idle_connections(state.upstream.address)
             return 0, error.message
         except Exception as error:  # a fault of one attempt must not stop the batch's other items
             state.record_failure(ports.clock())
@@ -364,8 +367,6 @@
                 if metadata.not_run:
                     state.record_overload(ports.clock())
                     return head.status, "not run"
-            if metadata.request_id != item.id:
-                return 0, "response is for another request"
             if head.status != STATUS_OK:
                 return head.status, "failed"
             version = metadata.weight_version
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -101,12 +101,16 @@
 class Exchange:
     """Run one request on one connection of a pool.
 
-    An error's outcome is NOT_RUN only if no byte of the request can have been sent.
+    An error's outcome is NOT_RUN only if no byte of the request can have been sent. `is_first` says
+    that the connection has carried no request before.
     """
 
-    def __init__(self, connection: _Connection, buffers: ResponseBuffers) -> None:
+    def __init__(
+        self, connection: _Connection, buffers: ResponseBuffers, is_first: bool = True
+    ) -> None:
         self.connection = connection
         self.buffers = buffers
+        self.is_first = is_first
         self.send_started = False
         self.head: ResponseHead | None = None
         self.response_complete = False
@@ -231,9 +235,10 @@
         """
         key = (address, lifetime)
         connection = None if new_connection else self._take_idle_connection(key)
+        is_first = connection is None
         if connection is None:
             connection = await self._connect(address)
-        exchange = Exchange(connection, self.buffers)
+        exchange = Exchange(connection, self.buffers, is_first)
         returned_to_pool = False
         try:
             data = self._encode(connection, method, target, headers, body)
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Route and forward requests to a shared fleet of upstreams, and reach the object store."""
 
-from ._attempts import Attempt, AttemptSender, UpstreamCodec
+from ._attempts import WRONG_RESPONSE, Attempt, AttemptSender, UpstreamCodec
 from ._crash_detection import CrashDetector
 from ._crash_records import CrashRecord
 from ._forward import ForwardedRequest, Forwarder
@@ -59,5 +59,6 @@
     "UpstreamCodec",
     "UpstreamState",
     "UpstreamTable",
+    "WRONG_RESPONSE",
     "group_routes_by_host",
 ]
--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -12,17 +12,21 @@
 Headers = list[tuple[bytes, bytes]]
 UPSTREAM_LEFT = "upstream-left"
 """Code of the error for a request that was not sent because its upstream is leaving or gone."""
+WRONG_RESPONSE = "wrong-response"
+"""Code of the error for a response that belongs to another request, or to none that is known."""
 
 
 @dataclass(slots=True)
 class Attempt:
     """Hold the parameters of one attempt; `remaining_s` is the time until the request's deadline.
 
+    Its response carries `request_id`.
     `resume_after` is the id of the last event of a stream that was received before. `sent` is set
     and `on_sent` is called right before the first byte is sent.
     """
 
     upstream: Upstream
+    request_id: str
     remaining_s: float
     customer: str = ""
     priority: int | None = None
@@ -49,6 +53,18 @@
     metadata: ResponseMetadata
 
 
+def belongs_to_request(metadata: ResponseMetadata, request_id: str, is_first: bool) -> bool:
+    """Return whether a response is the one to a request.
+
+    An upstream may send a response twice, the second time when the connection carries the next
+    request. Without an id, a response is known only on a connection that has carried no other
+    request; a request with an id gets only rejections without one.
+    """
+    if metadata.request_id:
+        return metadata.request_id == request_id
+    return is_first and (metadata.not_run or not request_id)
+
+
 AcquirePermit = Callable[[UpstreamState, float], Awaitable[None]]
 
 
@@ -104,7 +120,9 @@
     ) -> AsyncIterator[UpstreamResponse]:
         """Send a request and yield the response after its head is read; raise UpstreamError.
 
-        The error's code is UPSTREAM_LEFT if the upstream has left since it was chosen.
+        The error's code is UPSTREAM_LEFT if the upstream has left since it was chosen, and
+        WRONG_RESPONSE if the response belongs to another request: nothing of it is believed, and
+        the request may have run.
         """
 
         def check_before_send() -> None:
@@ -129,10 +147,19 @@
                 self.codec.encode(headers, attempt),
                 body,
                 lifetime=state.upstream.lifetime,
+                new_connection=not attempt.request_id,
                 before_send=check_before_send,
             ) as exchange:
                 head = await exchange.read_head()
                 metadata = self.codec.decode(head)
+                if not belongs_to_request(metadata, attempt.request_id, exchange.is_first):
+                    raise UpstreamError(
+                        "response belongs to another request",
+                        step=Step.RECEIVE,
+                        peer=state.upstream.id,
+                        outcome=Outcome.UNKNOWN,
+                        code=WRONG_RESPONSE,
+                    )
                 if metadata.load is not None:
                     state.record_load_report(metadata.load, self.clock())
                 self._record_rate_limit(state, metadata)
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -214,7 +214,9 @@
         on_sent: Callable[[], None] | None,
     ) -> HttpResponse:
         started_at = self.clock()
-        attempt = Attempt(state.upstream, remaining_s, request.customer, on_sent=on_sent)
+        attempt = Attempt(
+            state.upstream, request.id, remaining_s, request.customer, on_sent=on_sent
+        )
         rejected = False
         state.in_flight += 1
         try:
@@ -276,12 +278,6 @@
                 outcome=Outcome.NOT_RUN,
                 code=UPSTREAM_FULL,
             )
-        if metadata.request_id != request.id:
-            raise UpstreamError(
-                "response carries the id of another request",
-                step=Step.RECEIVE,
-                peer=state.upstream.id,
-            )
         # a 504 means only that the deadline passed
         if http_response.head.status != STATUS_GATEWAY_TIMEOUT:
             self.record_completed(request)
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -161,6 +161,7 @@
         forwarder = self.forwarder
         attempt = Attempt(
             state.upstream,
+            request.id,
             remaining_s,
             request.customer,
             resume_after=progress.last_event_id,
@@ -182,10 +183,6 @@
                         peer=state.upstream.id,
                         outcome=Outcome.NOT_RUN,
                     )
-                if metadata.request_id != request.id:
-                    raise UpstreamError(
-                        "response carries the id of another request", step=Step.RECEIVE
-                    )
                 if progress.head is not None and head.status != STATUS_OK:
                     raise UpstreamError(
                         f"upstream did not resume the stream: status {head.status}",
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -315,7 +315,7 @@
             (b"X-Kept", b"2"),
             (b"X-Acaciarill-Attempt-Id", b"id"),
         ]
-        encoded = encode_attempt(headers, Attempt(upstream, 1.5, "t1", resume_after=4))
+        encoded = encode_attempt(headers, Attempt(upstream, "id", 1.5, "t1", resume_after=4))
         values_by_name = {name.lower(): value for name, value in encoded}
         self.assertNotIn(b"authorization", values_by_name)
         self.assertNotIn(b"x-hop", values_by_name)
