Compare the id of a refusal with the attempt's in the product's own daemon

A response that names another request is an error with an unknown outcome now. The stand-in sends the id back.

--- a/acaciarill/stand_ins/plain_service.py
+++ b/acaciarill/stand_ins/plain_service.py
@@ -35,7 +35,8 @@
         request_id = request.headers.get(HEADER_REQUEST_ID, "")
         if "refuse" in request.query_params:
             self.record_event("refused", request_id=request_id)
-            return JSONResponse({"error": "busy"}, 503, {"x-outcome": "not-run"})
+            headers = {"x-outcome": "not-run", HEADER_REQUEST_ID: request_id}
+            return JSONResponse({"error": "busy"}, 503, headers)
         self.record_event(
             "run",
             request_id=request_id,
--- a/acaciarill/upstreams/_client.py
+++ b/acaciarill/upstreams/_client.py
@@ -132,6 +132,11 @@
             raise UpstreamError(
                 "the upstream sent no response", step=Step.RECEIVE, peer=upstream.name
             ) from error
+        if response.headers.get(HEADER_REQUEST_ID, attempt_id) != attempt_id:
+            await response.aclose()
+            raise UpstreamError(
+                "the response belongs to another request", step=Step.RECEIVE, peer=upstream.name
+            )
         if upstream.declares_not_run and response.headers.get(HEADER_OUTCOME) == Outcome.NOT_RUN:
             await response.aclose()
             raise UpstreamError(
