Give each batch texts of its own: two that held an item wrote to the same one

Cause: TextCache handed the same text to the runners of two batches, by the item's id alone. The daemon did not know yet that the earlier step had ended, so its runner went on, and appended events that its own batch allows to the text that the later step's runner held. The versions are checked when a text is taken up; it was empty then.

Ruled out: engines that tell a wrong version, and a cached text that is taken up with versions that are too old.

The mend: a text belongs to one batch. A batch begins an item with a copy of the longest allowed text that any batch has of it. Items are known by their customer, id and prompt, so two customers with the same id share nothing either; before they would have shared texts and results. Rows of texts from other daemons and the store are checked one by one.

The tests of the cache ask the same as before, of a batch's texts.

--- a/acaciarill/batches/__init__.py
+++ b/acaciarill/batches/__init__.py
@@ -6,13 +6,14 @@
 from ._model import BatchHead, Item, Result, ResultPage, ScoreRequest, StreamEvent, Submission
 from ._runner import BatchRunner, RunnerPorts, select_priority_groups
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
-from ._texts import TextCache, TextLimits
+from ._texts import BatchTexts, TextCache, TextLimits
 
 __all__ = [
     "BatchManager",
     "BatchHead",
     "BatchPorts",
     "BatchRunner",
+    "BatchTexts",
     "EngineScheduler",
     "Item",
     "NotFoundError",
--- a/acaciarill/batches/_checkpoint.py
+++ b/acaciarill/batches/_checkpoint.py
@@ -4,12 +4,14 @@
 lost or late write causes repeated work, never a wrong result.
 """
 
+from collections.abc import Iterable
+
 from eliot import log_message
 
 from ..errors import StoreConflictError, StoreError
 from ._log import ObjectAccess
 from ._model import Item
-from ._texts import TextCache
+from ._texts import BatchTexts
 from .const import KIND_TEXTS
 
 EMPTY_TEXTS = b"[]"
@@ -18,7 +20,7 @@
 class TextCheckpoint:
     """Save the long texts of one batch, and load those that an earlier owner saved."""
 
-    def __init__(self, batch: str, store: ObjectAccess, texts: TextCache) -> None:
+    def __init__(self, batch: str, store: ObjectAccess, texts: BatchTexts) -> None:
         self.batch = batch
         self.key = f"{KIND_TEXTS}/{batch}"
         self.store = store
@@ -26,13 +28,13 @@
         self.version = 0
         self.saved_hash = 0
 
-    async def load(self) -> set[str]:
-        """Load the saved texts and return the ids of their items; raise StoreError."""
+    async def load(self, items: Iterable[Item]) -> set[str]:
+        """Load the saved texts of some items and return the items' ids; raise StoreError."""
         stored = await self.store.get(self.key)
         if stored is None:
             return set()
         self.version = stored[1]
-        item_ids = self.texts.merge_encoded(stored[0])
+        item_ids = self.texts.merge_encoded(items, stored[0])
         log_message(message_type="batch:checkpoint_loaded", batch=self.batch, texts=len(item_ids))
         return item_ids
 
--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -16,7 +16,7 @@
 from ._model import BatchHead, Submission
 from ._reading import ReadAtOwner, ResultReader
 from ._runner import BatchRunner, RunnerPorts
-from ._texts import TextCache, TextLimits
+from ._texts import BatchTexts, TextCache, TextLimits
 from .const import BATCH_RETENTION_S, KIND_HEADS, KIND_TEXTS, RUN_RETRY_DELAY_S
 
 SendBatch = Callable[[str, str, Record, bytes, bytes], Awaitable[None]]
@@ -86,10 +86,15 @@
                 message_type="batch:send_failed", batch=batch_id, owner=owner, reason=error.message
             )
 
+    def _texts_of(self, batch_id: str, customer: str) -> BatchTexts:
+        return BatchTexts(self.texts, batch_id, customer)
+
     def receive_batch(self, record: Record, body: bytes, texts: bytes) -> None:
         """Receive a batch that another daemon accepted for this one or handed over."""
-        self.heads.cache_submission(record.name, self.ports.decode_submission(body))
-        self.texts.merge_encoded(texts)
+        submission = self.ports.decode_submission(body)
+        self.heads.cache_submission(record.name, submission)
+        customer = BatchHead.from_value(record.value).customer
+        self._texts_of(record.name, customer).merge_encoded(submission.items, texts)
         self.runnable_ids.add(record.name)
         log_message(message_type="batch:received", batch=record.name)
         self.mirror.put(record)
@@ -129,7 +134,13 @@
         log = ResultLog(batch_id, self.ports.store)
         taken_over = batch_id in self.taken_over_ids
         runner = BatchRunner(
-            batch_id, head, submission, log, self.ports.runner, self.texts, taken_over
+            batch_id,
+            head,
+            submission,
+            log,
+            self.ports.runner,
+            self._texts_of(batch_id, head.customer),
+            taken_over,
         )
         self.runners[batch_id] = runner
         self.reader.logs.pop(batch_id, None)
@@ -220,7 +231,7 @@
             if await self.heads.update(
                 batch_id, record, replace(head, owner=owner, epoch=head.epoch + 1)
             ):
-                texts = self.texts.encode(runner.submission.items)
+                texts = runner.texts.encode(runner.submission.items)
                 await self._send_to_owner(
                     batch_id, await self.heads.load_body(batch_id, head), texts
                 )
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -22,7 +22,7 @@
 from ._log import ResultLog
 from ._model import FIRST_EPOCH, BatchHead, Item, Result, ScoreRequest, StreamEvent, Submission
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
-from ._texts import GeneratedText, TextCache
+from ._texts import BatchTexts, GeneratedText
 from .const import (
     APPEND_LINGER_S,
     CHECKPOINT_PERIOD_S,
@@ -90,7 +90,7 @@
         submission: Submission,
         log: ResultLog,
         ports: RunnerPorts,
-        texts: TextCache,
+        texts: BatchTexts,
         taken_over: bool = False,
     ) -> None:
         self.texts = texts
@@ -117,7 +117,7 @@
                 self.log.loaded = True  # no owner has stored a result yet
             else:
                 await self.log.load()
-                self.restored_ids = await self.checkpoint.load()
+                self.restored_ids = await self.checkpoint.load(self.submission.items)
             # Completed results of an earlier run that failed are in the log or in the text cache.
             self.finished_results.clear()
             pending = [item for item in self.submission.items if item.id not in self.log.result_ids]
--- a/acaciarill/batches/_texts.py
+++ b/acaciarill/batches/_texts.py
@@ -1,4 +1,7 @@
-"""Cache texts and results by item, for a batch with a new owner or a resubmitted group."""
+"""Hold the texts of each batch, and cache them and results for a resubmitted group.
+
+A text belongs to one batch: two batches may hold the same item, with other weight versions allowed.
+"""
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
@@ -7,7 +10,9 @@
 from typing import Any
 
 import orjson
+from eliot import log_message
 
+from ..untrusted_json import require_integer, require_list, require_string
 from ._model import Item, Result
 from .const import (
     MAX_CHECKPOINT_CHARACTERS,
@@ -24,6 +29,9 @@
 ROW_LENGTH = 4
 """Length of a text's row for another daemon."""
 
+ItemKey = tuple[str, str, bytes]
+"""Customer, id and prompt of an item, which are the same if it is submitted again."""
+
 
 @dataclass(slots=True, frozen=True)
 class TextLimits:
@@ -71,6 +79,12 @@
         self.last_event_id = event_id
         self.size += encoded_size(data)
 
+    def copy(self) -> "GeneratedText":
+        """Return a text of its own with the same events."""
+        return GeneratedText(
+            list(self.events), self.last_event_id, list(self.versions), self.software_version
+        )
+
     def clear(self) -> None:
         """Drop all events, so that the item is generated from its start."""
         self.events, self.last_event_id, self.versions = [], None, []
@@ -102,18 +116,84 @@
 
 
 class TextCache:
-    """Hold the texts and results of items, up to MAX_CACHED_TEXTS of each and to some bytes.
+    """Hold the texts of all batches of a daemon, and the results of their items.
 
-    Texts that are being generated are never evicted; `find_excess` limits their growth.
+    It holds up to MAX_CACHED_TEXTS of each and some bytes. Texts that are being generated are never
+    evicted; `find_excess` limits their growth.
     """
 
     def __init__(self, limits: TextLimits | None = None) -> None:
         self.limits = limits or TextLimits()
-        self.texts: OrderedDict[str, GeneratedText] = OrderedDict()
-        self.results: OrderedDict[tuple[str, str], Result] = OrderedDict()
+        self.texts: OrderedDict[tuple[str, ItemKey], GeneratedText] = OrderedDict()
+        self.batch_ids: dict[ItemKey, list[str]] = {}
+        self.results: OrderedDict[tuple[ItemKey, str], Result] = OrderedDict()
         self.text_bytes = 0
         self.result_bytes = 0
 
+    def put_text(self, batch_id: str, key: ItemKey, text: GeneratedText) -> None:
+        """Add the text of a batch's item in place of its previous one."""
+        self.remove_text(batch_id, key)
+        self.evict_texts(added=1)
+        self.texts[batch_id, key] = text
+        self.batch_ids.setdefault(key, []).append(batch_id)
+        self.text_bytes += text.size
+
+    def remove_text(self, batch_id: str, key: ItemKey) -> None:
+        """Remove the text of a batch's item if there is one."""
+        text = self.texts.pop((batch_id, key), None)
+        if text is None:
+            return
+        self.text_bytes -= text.size
+        self.batch_ids[key].remove(batch_id)
+        if not self.batch_ids[key]:
+            del self.batch_ids[key]
+
+    def texts_of_item(self, key: ItemKey) -> list[GeneratedText]:
+        """Return the texts of an item in all batches."""
+        return [self.texts[batch_id, key] for batch_id in self.batch_ids.get(key, [])]
+
+    def put_result(self, key: ItemKey, score_id: str, result: Result) -> None:
+        """Cache the result of a finished item."""
+        self._remove_result(key, score_id)
+        self.results[key, score_id] = result
+        self.result_bytes += len(result.text)
+        while len(self.results) > MAX_CACHED_TEXTS or self.result_bytes > self.limits.total_bytes:
+            self._remove_result(*next(iter(self.results)))
+
+    def _remove_result(self, key: ItemKey, score_id: str) -> None:
+        result = self.results.pop((key, score_id), None)
+        if result is not None:
+            self.result_bytes -= len(result.text)
+
+    def evict_texts(self, added: int = 0) -> None:
+        """Remove the oldest texts that are not being generated, until `added` more fit."""
+        if self._has_room(added):
+            return
+        for batch_id, key in [name for name, text in self.texts.items() if not text.user_count]:
+            self.remove_text(batch_id, key)
+            if self._has_room(added):
+                return
+
+    def _has_room(self, added: int) -> bool:
+        is_full = len(self.texts) + added > MAX_CACHED_TEXTS
+        return not is_full and self.text_bytes <= self.limits.total_bytes
+
+
+class BatchTexts:
+    """Give one batch access to its texts, and to copies of what others hold of its items."""
+
+    def __init__(self, cache: TextCache, batch_id: str, customer: str) -> None:
+        self.cache = cache
+        self.batch_id = batch_id
+        self.customer = customer
+
+    def _key(self, item: Item) -> ItemKey:
+        return self.customer, item.id, item.body
+
+    def find(self, item: Item) -> GeneratedText | None:
+        """Return the text of an item in this batch, or None."""
+        return self.cache.texts.get((self.batch_id, self._key(item)))
+
     @contextmanager
     def open_text(
         self, item: Item, min_version: int, single_version: bool
@@ -127,12 +207,21 @@
             text.user_count -= 1
 
     def resumable_text(self, item: Item, min_version: int, single_version: bool) -> GeneratedText:
-        """Return the text to resume an item from, an empty one if none has allowed versions."""
-        text = self.texts.get(item.id)
-        if text is None or not text.has_allowed_versions(min_version, single_version):
-            self._evict_texts(added=1)
-            text = GeneratedText()
-            self._put_text(item.id, text)
+        """Return the text to resume an item from, an empty one if none has allowed versions.
+
+        If this batch has none, it is a copy of the longest one that another batch has.
+        """
+        text = self.find(item)
+        if text is not None and text.has_allowed_versions(min_version, single_version):
+            return text
+        others = [
+            other
+            for other in self.cache.texts_of_item(self._key(item))
+            if other.has_allowed_versions(min_version, single_version)
+        ]
+        longest = max(others, key=lambda other: len(other.events), default=GeneratedText())
+        text = longest.copy()
+        self.cache.put_text(self.batch_id, self._key(item), text)
         return text
 
     def append_event(
@@ -141,29 +230,24 @@
         """Append an event to an item's text; return which limit the text exceeds, if any."""
         previous_size = text.size
         text.append_event(event_id, data, version)
-        if self.texts.get(item.id) is text:
-            self.text_bytes += text.size - previous_size
-        return find_excess(text, item.max_output_tokens, self.text_bytes, self.limits)
+        if self.find(item) is text:
+            self.cache.text_bytes += text.size - previous_size
+        return find_excess(text, item.max_output_tokens, self.cache.text_bytes, self.cache.limits)
 
     def clear_text(self, item: Item, text: GeneratedText) -> None:
         """Drop all events of an item's text."""
-        if self.texts.get(item.id) is text:
-            self.text_bytes -= text.size
+        if self.find(item) is text:
+            self.cache.text_bytes -= text.size
         text.clear()
 
     def add_result(self, item: Item, result: Result) -> None:
         """Cache the result of a finished item and drop its text, which the result contains."""
-        self._remove_text(item.id)
-        key = _result_key(item)
-        self._remove_result(key)
-        self.results[key] = result
-        self.result_bytes += len(result.text)
-        while len(self.results) > MAX_CACHED_TEXTS or self.result_bytes > self.limits.total_bytes:
-            self._remove_result(next(iter(self.results)))
+        self.cache.remove_text(self.batch_id, self._key(item))
+        self.cache.put_result(self._key(item), _score_id(item), result)
 
     def reusable_result(self, item: Item, min_version: int, single_version: bool) -> Result | None:
         """Return the cached result of an item if its versions are allowed, else None."""
-        result = self.results.get(_result_key(item))
+        result = self.cache.results.get((self._key(item), _score_id(item)))
         if result is None:
             return None
         allowed = GeneratedText(versions=list(result.versions)).has_allowed_versions(
@@ -176,13 +260,13 @@
         rows = [
             (item.id, *text.as_row())
             for item in items
-            if (text := self.texts.get(item.id)) is not None and text.events
+            if (text := self.find(item)) is not None and text.events
         ]
         return orjson.dumps(rows)
 
     def encode_longest(self, items: Iterable[Item]) -> bytes:
         """Encode the long texts of some items, the longest first up to the checkpoint limit."""
-        texts = {item.id: text for item in items if (text := self.texts.get(item.id)) is not None}
+        texts = {item.id: text for item in items if (text := self.find(item)) is not None}
         rows = []
         remaining = MAX_CHECKPOINT_CHARACTERS
         for item_id, text in sorted(texts.items(), key=lambda pair: -len(pair[1].events)):
@@ -192,51 +276,46 @@
             rows.append((item_id, *text.as_row()))
         return orjson.dumps(rows)
 
-    def merge_encoded(self, data: bytes) -> set[str]:
-        """Add encoded texts that are longer than the cached ones; return the ids of their items.
+    def merge_encoded(self, items: Iterable[Item], data: bytes) -> set[str]:
+        """Add encoded texts that are longer than the present ones; return the ids of their items.
 
-        A text whose software version is not known cannot be resumed.
+        A text whose software version is not known cannot be resumed. One that is being generated is
+        not replaced.
         """
+        items_by_id = {item.id: item for item in items}
         merged = set()
-        for item_id, *row in orjson.loads(data):
-            if len(row) < ROW_LENGTH:
-                continue  # saved by a daemon that did not know software versions
-            text = GeneratedText(*row[:ROW_LENGTH])
-            current = self.texts.get(item_id)
-            if current is None or len(current.events) < len(text.events):
-                self._put_text(item_id, text)
+        for item_id, text in _decode_rows(data):
+            item = items_by_id.get(item_id)
+            if item is None:
+                continue
+            current = self.find(item)
+            if current is None or (
+                len(current.events) < len(text.events) and not current.user_count
+            ):
+                self.cache.put_text(self.batch_id, self._key(item), text)
                 merged.add(item_id)
-        self._evict_texts()
         return merged
 
-    def _put_text(self, item_id: str, text: GeneratedText) -> None:
-        self._remove_text(item_id)
-        self.texts[item_id] = text
-        self.text_bytes += text.size
-
-    def _remove_text(self, item_id: str) -> None:
-        text = self.texts.pop(item_id, None)
-        if text is not None:
-            self.text_bytes -= text.size
 
-    def _remove_result(self, key: tuple[str, str]) -> None:
-        result = self.results.pop(key, None)
-        if result is not None:
-            self.result_bytes -= len(result.text)
+def _decode_rows(data: bytes) -> Iterator[tuple[str, GeneratedText]]:
+    """Yield the ids of items and their texts; log and leave out malformed rows.
 
-    def _evict_texts(self, added: int = 0) -> None:
-        """Remove the oldest texts that are not being generated, until `added` more fit."""
-        if self._has_room(added):
-            return
-        for item_id in [name for name, text in self.texts.items() if not text.user_count]:
-            self._remove_text(item_id)
-            if self._has_room(added):
-                return
-
-    def _has_room(self, added: int) -> bool:
-        is_full = len(self.texts) + added > MAX_CACHED_TEXTS
-        return not is_full and self.text_bytes <= self.limits.total_bytes
-
-
-def _result_key(item: Item) -> tuple[str, str]:
-    return item.id, item.score.id if item.score is not None else ""
+    Daemons that do not know software versions save shorter rows.
+    """
+    for row in require_list(orjson.loads(data)):
+        try:
+            item_id, events, last_event_id, versions, software_version = row[: 1 + ROW_LENGTH]
+            text = GeneratedText(
+                [require_string(event) for event in require_list(events)],
+                None if last_event_id is None else require_integer(last_event_id),
+                [require_integer(version) for version in require_list(versions)],
+                require_string(software_version),
+            )
+        except (TypeError, ValueError) as error:
+            log_message(message_type="batch:text_unreadable", reason=repr(error)[:200])
+            continue
+        yield require_string(item_id), text
+
+
+def _score_id(item: Item) -> str:
+    return item.score.id if item.score is not None else ""
--- a/tests/batches/test_checkpoint.py
+++ b/tests/batches/test_checkpoint.py
@@ -6,19 +6,23 @@
 
 from acaciarill.batches import Item
 from acaciarill.batches._checkpoint import TextCheckpoint
-from acaciarill.batches._texts import TextCache
+from acaciarill.batches._texts import BatchTexts, TextCache
 from acaciarill.batches.const import MAX_CHECKPOINT_CHARACTERS, MIN_CHECKPOINT_EVENTS
 from tests.fakes.store import FakeStore
 
 KEY = "batch-texts/b"
 
 
+def new_texts() -> BatchTexts:
+    return BatchTexts(TextCache(), "b", "c")
+
+
 class CheckpointTest(unittest.IsolatedAsyncioTestCase):
     """Save texts as one owner and load them as the next one."""
 
     def setUp(self) -> None:
         self.store = FakeStore()
-        self.texts = TextCache()
+        self.texts = new_texts()
         self.items = [Item(f"i{n}", "/x", (), b"", "g", 10) for n in range(4)]
         self.checkpoint = TextCheckpoint("b", self.store, self.texts)
 
@@ -29,17 +33,17 @@
 
     async def load_event_counts(self) -> dict[str, int]:
         """Return the number of events that a new owner loads, by item."""
-        texts = TextCache()
-        await TextCheckpoint("b", self.store, texts).load()
-        return {name: len(text.events) for name, text in texts.texts.items()}
+        texts = new_texts()
+        await TextCheckpoint("b", self.store, texts).load(self.items)
+        return {key[1]: len(text.events) for (_, key), text in texts.cache.texts.items()}
 
     async def test_next_owner_resumes_long_texts(self) -> None:
         self.add_events(self.items[0], MIN_CHECKPOINT_EVENTS)
         self.add_events(self.items[1], MIN_CHECKPOINT_EVENTS - 1)  # too short to be saved
         await self.checkpoint.save(self.items)
         self.assertEqual(await self.load_event_counts(), {"i0": MIN_CHECKPOINT_EVENTS})
-        texts = TextCache()
-        item_ids = await TextCheckpoint("b", self.store, texts).load()
+        texts = new_texts()
+        item_ids = await TextCheckpoint("b", self.store, texts).load(self.items)
         self.assertEqual(item_ids, {"i0"})
         text = texts.resumable_text(self.items[0], 1, False)
         self.assertEqual((text.last_event_id, text.versions), (MIN_CHECKPOINT_EVENTS - 1, [3]))
@@ -57,7 +61,7 @@
         self.store.lose_next_responses = 1
         await self.checkpoint.save(self.items)
         other = TextCheckpoint("b", self.store, self.texts)
-        await other.load()
+        await other.load(self.items)
         self.add_events(self.items[0], 5)
         await other.save(self.items)
         self.add_events(self.items[0], 5)
@@ -85,6 +89,9 @@
         self.add_events(self.items[0], 30)
         await self.checkpoint.save(self.items)
         self.add_events(self.items[0], 10)
-        self.assertEqual(await TextCheckpoint("b", self.store, self.texts).load(), set())
-        self.assertEqual(len(self.texts.texts["i0"].events), 40)
+        checkpoint = TextCheckpoint("b", self.store, self.texts)
+        self.assertEqual(await checkpoint.load(self.items), set())
+        text = self.texts.find(self.items[0])
+        assert text is not None
+        self.assertEqual(len(text.events), 40)
         self.assertEqual(len(orjson.loads(self.store.objects[KEY][0])), 1)
--- a/tests/batches/test_endless_texts.py
+++ b/tests/batches/test_endless_texts.py
@@ -7,7 +7,13 @@
 from hypothesis import strategies as st
 
 from acaciarill.batches import Item, Result, TextLimits
-from acaciarill.batches._texts import MAX_CACHED_TEXTS, GeneratedText, TextCache, find_excess
+from acaciarill.batches._texts import (
+    MAX_CACHED_TEXTS,
+    BatchTexts,
+    GeneratedText,
+    TextCache,
+    find_excess,
+)
 from acaciarill.batches.const import UNRESTRICTED_TEXT_BYTES
 from tests.fakes.batches import make_item, running_batches, stream_events
 
@@ -78,52 +84,54 @@
 
     def test_texts_that_are_generated_are_not_evicted(self) -> None:
         cache = TextCache(TextLimits(total_bytes=1000))
-        with cache.open_text(make_item("open"), 0, False) as text:
-            cache.append_event(make_item("open"), text, 1, "x" * 2000, 1)
+        texts = BatchTexts(cache, "b1", "c")
+        with texts.open_text(make_item("open"), 0, False) as text:
+            texts.append_event(make_item("open"), text, 1, "x" * 2000, 1)
             for number in range(3):
-                cache.append_event(
-                    make_item(f"i{number}"),
-                    cache.resumable_text(make_item(f"i{number}"), 0, False),
-                    1,
-                    "x" * 400,
-                    1,
-                )
-            self.assertIn("open", cache.texts)
+                item = make_item(f"i{number}")
+                texts.append_event(item, texts.resumable_text(item, 0, False), 1, "x" * 400, 1)
+            self.assertIs(texts.find(make_item("open")), text)
         self.assertLessEqual(len(cache.texts), 2)
 
     def test_count_of_texts_is_limited(self) -> None:
         cache = TextCache()
         for number in range(MAX_CACHED_TEXTS + 10):
-            cache.resumable_text(make_item(str(number)), 0, False)
+            texts = BatchTexts(cache, f"b{number}", "c")
+            texts.resumable_text(make_item(str(number % 7)), 0, False)
         self.assertEqual(len(cache.texts), MAX_CACHED_TEXTS)
 
-    @settings(max_examples=60, derandomize=True)
+    @settings(max_examples=100, derandomize=True)
     @given(
         st.lists(
             st.tuples(
                 st.sampled_from(["append", "clear", "result", "merge"]),
+                st.sampled_from(["b1", "b2"]),
                 st.integers(0, 3),
                 st.integers(0, 500),
             ),
             max_size=40,
         )
     )
-    def test_sizes_are_those_of_the_cached_texts(self, steps: list[tuple[str, int, int]]) -> None:
+    def test_sizes_are_those_of_the_cached_texts(
+        self, steps: list[tuple[str, str, int, int]]
+    ) -> None:
         cache = TextCache(TextLimits(total_bytes=2000))
         items: list[Item] = [make_item(f"i{number}") for number in range(4)]
-        other = TextCache()
+        other = BatchTexts(TextCache(), "b1", "c")
         other.append_event(items[0], other.resumable_text(items[0], 0, False), 1, "y" * 300, 1)
-        for action, number, size in steps:
-            item = items[number]
-            text = cache.resumable_text(item, 0, False)
+        for action, batch_id, number, size in steps:
+            item, texts = items[number], BatchTexts(cache, batch_id, "c")
+            text = texts.resumable_text(item, 0, False)
             if action == "append":
-                cache.append_event(item, text, len(text.events), "\t" * size, 1)
+                texts.append_event(item, text, len(text.events), "\t" * size, 1)
             elif action == "clear":
-                cache.clear_text(item, text)
+                texts.clear_text(item, text)
             elif action == "result":
-                cache.add_result(item, Result(item.id, "completed", "x" * size, (1,)))
+                texts.add_result(item, Result(item.id, "completed", "x" * size, (1,)))
             else:
-                cache.merge_encoded(other.encode([items[0]]))
+                texts.merge_encoded(items, other.encode([items[0]]))
             self.assertEqual(cache.text_bytes, sum(t.size for t in cache.texts.values()))
             self.assertEqual(cache.result_bytes, sum(len(r.text) for r in cache.results.values()))
             self.assertLessEqual(cache.result_bytes, 2000)
+            known = {(batch, key) for key, batches in cache.batch_ids.items() for batch in batches}
+            self.assertEqual(known, set(cache.texts))
--- a/tests/batches/test_runner.py
+++ b/tests/batches/test_runner.py
@@ -16,7 +16,7 @@
     RunnerPorts,
     Submission,
 )
-from acaciarill.batches._texts import GeneratedText, TextCache
+from acaciarill.batches._texts import BatchTexts, GeneratedText, TextCache
 from acaciarill.batches.const import STATE_COMPLETED, STATE_FAILED, UNLIMITED_ATTEMPT_S
 from acaciarill.edge import EdgeLimits
 from acaciarill.fleet import Configuration, Route, RouteKind, Upstream, UpstreamState
@@ -72,7 +72,9 @@
         )
         submission = Submission("m", 1, 1, (item,))
         log = ResultLog("b1", self.store)
-        return OneEventRunner("b1", head, submission, log, ports, TextCache())
+        return OneEventRunner(
+            "b1", head, submission, log, ports, BatchTexts(TextCache(), "b1", "c")
+        )
 
     async def stored_states(
         self, runner: BatchRunner, configurations: list[Configuration | None]
--- a/tests/fakes/batches.py
+++ b/tests/fakes/batches.py
@@ -12,6 +12,7 @@
 from acaciarill.batches import (
     BatchHead,
     BatchRunner,
+    BatchTexts,
     EngineScheduler,
     Item,
     ResultLog,
@@ -87,7 +88,7 @@
             Submission(MODEL, min_version, 0, items),
             ResultLog(batch_id, FakeStore()),
             self.ports,
-            self.texts,
+            BatchTexts(self.texts, batch_id, customer),
         )
         self.task_group.start_soon(runner.run)
         return runner
@@ -99,9 +100,15 @@
 
 @asynccontextmanager
 async def running_batches(
-    *scripts: ResponseScript, slots: int = 8, limits: TextLimits | None = None, version: int = 1
+    *scripts: ResponseScript,
+    slots: int = 8,
+    limits: TextLimits | None = None,
+    versions: tuple[int, ...] = (),
 ) -> AsyncIterator[RunningBatches]:
-    """Serve one engine for each script; the first is preferred. Yield the means to run batches."""
+    """Serve one engine for each script; the first is preferred. Yield the means to run batches.
+
+    `versions` are the weight versions that the engines register, 1 if there are none.
+    """
     clock = anyio.current_time
     async with anyio.create_task_group() as tasks:
         engines = [FakeUpstream(script) for script in scripts]
@@ -117,7 +124,7 @@
                     engine.address,
                     "dc" if number == 0 else "other",
                     slots,
-                    versions={MODEL: version},
+                    versions={MODEL: versions[number] if versions else 1},
                     software_version="v1",
                 )
                 for number, engine in enumerate(engines)
