Know a stream by its customer and its id, not by the id alone

Two customers with the same id would have shared it, and the second one's stream would have been taken up at the software version of the first one's, which joins pieces of two runs. The key has the customer now. Daemons of the build before do not find such keys: a stream that is taken up while both builds run is refused with a time to come back, as one that nobody knows.

--- a/acaciarill/fleet/_stream_versions.py
+++ b/acaciarill/fleet/_stream_versions.py
@@ -21,9 +21,9 @@
 )
 
 TellHolder = Callable[[str, str, str], None]
-"""Tell a daemon, by its name, which software version began the stream with an id; do not wait."""
+"""Tell a daemon, by its name, which software version began a stream, by its key; do not wait."""
 AskHolder = Callable[[str, str], Awaitable[str | None]]
-"""Ask a daemon, by its name, which software version began the stream with an id.
+"""Ask a daemon, by its name, which software version began a stream.
 
 It raises PeerError."""
 
@@ -34,8 +34,13 @@
     recorded_at: float
 
 
+def make_stream_key(customer: str, request_id: str) -> str:
+    """Return the key of a stream: two customers may use the same id for different requests."""
+    return f"{len(customer)}:{customer}{request_id}"
+
+
 class StreamVersions:
-    """Hold the software versions that began streams, by the id of the request that began each.
+    """Hold the software versions that began streams, by the key of each.
 
     Two other daemons hold each of them too, one of them without clients if there is one: it
     outlives the others when all daemons with clients are killed.
@@ -56,17 +61,17 @@
         self.on_lookup = on_lookup
         self.beginnings: OrderedDict[str, _Beginning] = OrderedDict()
 
-    def record(self, stream_id: str, software_version: str) -> None:
+    def record(self, stream_key: str, software_version: str) -> None:
         """Record which version began a stream, here and at two other daemons."""
-        if self.get(stream_id) is not None:
+        if self.get(stream_key) is not None:
             return
-        self.store(stream_id, software_version)
-        for holder in self._holders(stream_id, self.members.daemons(), 1):
-            self.tell(holder, stream_id, software_version)
+        self.store(stream_key, software_version)
+        for holder in self._holders(stream_key, self.members.daemons(), 1):
+            self.tell(holder, stream_key, software_version)
 
-    def store(self, stream_id: str, software_version: str) -> None:
+    def store(self, stream_key: str, software_version: str) -> None:
         """Record which version began a stream, for this daemon and those that ask it."""
-        self.beginnings.setdefault(stream_id, _Beginning(software_version, self.clock()))
+        self.beginnings.setdefault(stream_key, _Beginning(software_version, self.clock()))
         oldest = self.clock() - STREAM_VERSION_TTL_S
         while self.beginnings and (
             len(self.beginnings) > MAX_STREAM_VERSIONS
@@ -74,29 +79,29 @@
         ):
             self.beginnings.popitem(last=False)
 
-    def get(self, stream_id: str) -> str | None:
+    def get(self, stream_key: str) -> str | None:
         """Return the version that began a stream if this daemon knows it."""
-        beginning = self.beginnings.get(stream_id)
+        beginning = self.beginnings.get(stream_key)
         return None if beginning is None else beginning.software_version
 
-    async def find(self, stream_id: str, max_wait_s: float) -> str | None:
+    async def find(self, stream_key: str, max_wait_s: float) -> str | None:
         """Return the version that began a stream if this daemon or one of its holders knows it.
 
         Wait for the holders up to `max_wait_s` seconds.
         """
-        known = self.get(stream_id)
+        known = self.get(stream_key)
         if known is not None:
             self.on_lookup("known")
             return known
         found: list[str] = []
         # A daemon that seems lost may be the only one that knows.
-        holders = self._holders(stream_id, self.members.by_name, STREAM_HOLDERS_ASKED)
+        holders = self._holders(stream_key, self.members.by_name, STREAM_HOLDERS_ASKED)
         with anyio.move_on_after(min(max_wait_s, STREAM_LOOKUP_TIMEOUT_S)):
             async with anyio.create_task_group() as lookups:
 
                 async def look_up(holder: str) -> None:
                     try:
-                        software_version = await self.ask(holder, stream_id)
+                        software_version = await self.ask(holder, stream_key)
                     except PeerError as error:
                         log_message(
                             message_type="streams:lookup_failed", peer=holder, reason=error.message
@@ -112,13 +117,13 @@
             self.on_lookup("unknown")
             return None
         self.on_lookup("found")
-        self.store(stream_id, found[0])
+        self.store(stream_key, found[0])
         return found[0]
 
-    def _holders(self, stream_id: str, names: Iterable[str], count: int) -> list[str]:
+    def _holders(self, stream_key: str, names: Iterable[str], count: int) -> list[str]:
         """Return the first other daemons in the stream's rendezvous order, some of each role."""
         by_role: dict[bool, list[str]] = {True: [], False: []}
-        for name in rendezvous_order(stream_id, list(names)):
+        for name in rendezvous_order(stream_key, list(names)):
             if name != self.members.name:
                 by_role[self.members.by_name[name].role == ROLE_FRONT].append(name)
         with_clients, without_clients = by_role[True], by_role[False]
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -9,7 +9,7 @@
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
-from ._stream_versions import StreamVersions
+from ._stream_versions import StreamVersions, make_stream_key
 from ._upstreams import UpstreamState
 from .const import (
     DEADLINE_RESERVE_S,
@@ -123,7 +123,8 @@
         software_version = None
         if self.stream_versions is not None and request.resumed_id:
             max_wait_s = LOOKUP_PATIENCE_FACTOR * (request.deadline - self.forwarder.clock())
-            software_version = await self.stream_versions.find(request.resumed_id, max_wait_s)
+            stream_key = make_stream_key(request.customer, request.resumed_id)
+            software_version = await self.stream_versions.find(stream_key, max_wait_s)
         if software_version is None and self.upstreams_confirmed():
             age_s = max(STREAM_AGE_MIN_S, STREAM_AGE_FACTOR * request.route.timeout_s)
             software_version = self.forwarder.table.only_software_version(request.service, age_s)
@@ -146,7 +147,8 @@
         """Record which software version began a stream, before its client has an event of it."""
         stream_id = request.resumed_id if request.is_resumption else request.id
         if self.stream_versions is not None and request.route.resumable and stream_id:
-            self.stream_versions.record(stream_id, state.upstream.software_version)
+            stream_key = make_stream_key(request.customer, stream_id)
+            self.stream_versions.record(stream_key, state.upstream.software_version)
 
     async def _attempt(
         self,
--- a/tests/fleet/test_streaming.py
+++ b/tests/fleet/test_streaming.py
@@ -7,16 +7,18 @@
 import anyio
 
 from acaciarill.edge import HttpPool, Request, Responder, ResponseHead
-from acaciarill.errors import AcaciarillError
+from acaciarill.errors import AcaciarillError, RefusedError
 from acaciarill.fleet import (
     Attempt,
     AttemptSender,
     ForwardedRequest,
     Forwarder,
+    Members,
     ResponseMetadata,
     Route,
     RouteKind,
     StreamForwarder,
+    StreamVersions,
     Upstream,
     UpstreamCodec,
     UpstreamTable,
@@ -116,3 +118,37 @@
             replace(RESUMABLE, resumable=False), full, events(1)
         )
         self.assertEqual((received, outcome), (b"id: 0\ndata: e0\n\n", ""))
+
+
+class StreamOfCustomerTest(unittest.IsolatedAsyncioTestCase):
+    """Take up streams of two customers whose requests have the same id."""
+
+    # review/5 on a related path: streams were known by the id of their request alone.
+    async def test_stream_of_another_customer_with_the_same_id_is_not_taken_for_this_one(
+        self,
+    ) -> None:
+        clock = anyio.current_time
+        members = Members("f1", "f1", "dc", "front", clock)
+
+        async def ask(holder: str, key: str) -> None:
+            return None
+
+        versions = StreamVersions(members, lambda *told: None, ask, clock)
+        table = UpstreamTable("dc", clock, random.Random(1))
+        upstream = Upstream("u", "u", "s", "127.0.0.1:1", "dc", 8, software_version="v1")
+        table.update([upstream])
+        sender = AttemptSender(HttpPool(clock), UpstreamCodec(encode, decode), clock)
+        forwarder = Forwarder(sender, table, clock, random.Random(1))
+        streams = StreamForwarder(forwarder, lambda event: 0, versions, lambda: False)
+
+        def request(customer: str, **fields: object) -> ForwardedRequest:
+            deadline = clock() + 1.0
+            return ForwardedRequest(
+                "x", "GET", "/r/1", [], b"", RESUMABLE, "s", customer, deadline, **fields
+            )
+
+        streams._record_begun(request("c"), table.states["u"])
+        taken_up = request("c", is_resumption=True, resumed_id="x")
+        self.assertEqual(await streams._find_version(taken_up), "v1")
+        with self.assertRaises(RefusedError):
+            await streams._find_version(request("rival", is_resumption=True, resumed_id="x"))
