Reset the connection of a client of HTTP/1.0 when its response breaks off

Such a connection is reset now. Clients of HTTP/1.1 see the missing last chunk or length, as before.

--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -1,5 +1,7 @@
 """Serve HTTP/1.1 requests of clients over persistent connections."""
 
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -20,6 +22,9 @@
     READ_CHUNK_BYTES,
 )
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
 _CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -203,6 +208,10 @@
 
     async def close(self) -> None:
         """Close the connection; read what the client still sends unless it must be aborted."""
+        if self._ends_early():
+            raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.must_abort = True
         if self.must_abort:
             await anyio.aclose_forcefully(self.stream)
             return
@@ -215,6 +224,11 @@
             pass
         await anyio.aclose_forcefully(self.stream)
 
+    def _ends_early(self) -> bool:
+        """Return whether a response of which the end of the connection is the end is incomplete."""
+        is_sending = self.protocol.our_state is h11.SEND_BODY
+        return is_sending and self.protocol.their_http_version == b"1.0"
+
     def _start_next_cycle(self) -> bool:
         """Prepare for the next request; return whether the connection may serve one."""
         protocol = self.protocol
