Go on with a stream only from a stream of events that goes on with it

A stream without length that ended inside an event was passed on as complete too.

Cause: of the answer that should go on with a stream only the status and the id were compared, not what it is nor where it begins; and bytes after the last event were passed on whatever they are.

The mend: the answer must be a stream of events (its type may be missing), and its events must have later ids than those that the client has. An end inside an event is a break like any other. First answers that are no streams are passed on as they are.

--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -23,7 +23,7 @@
 from ._rate_limits import Permit, RateLimit
 from ._store_channel import StoreChannel
 from ._stream_versions import StreamVersions
-from ._streaming import StreamForwarder
+from ._streaming import StreamForwarder, is_event_stream
 from ._upstreams import UpstreamState, UpstreamTable
 
 __all__ = [
@@ -61,4 +61,5 @@
     "UpstreamTable",
     "WRONG_RESPONSE",
     "group_routes_by_host",
+    "is_event_stream",
 ]
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -5,7 +5,7 @@
 import anyio
 from eliot import log_message
 
-from ..edge import ResponseHead, check_event_size
+from ..edge import Exchange, ResponseHead, check_event_size
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
@@ -19,6 +19,8 @@
     STREAM_AGE_MIN_S,
 )
 
+CONTENT_TYPE = b"content-type"
+EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
 STATUS_OK = 200
 
@@ -185,27 +187,21 @@
                         peer=state.upstream.id,
                         outcome=Outcome.NOT_RUN,
                     )
-                if progress.head is not None and head.status != STATUS_OK:
+                if progress.head is not None and not is_event_stream(head):
                     raise UpstreamError(
-                        f"upstream did not resume the stream: status {head.status}",
+                        f"upstream did not resume the stream: status {head.status}, type"
+                        f" {head.get(CONTENT_TYPE)}",
                         step=Step.RECEIVE,
                     )
                 forwarder.on_run(request.customer, sent_at)
                 if progress.head is None:
                     progress.head = head
                     await start(head)
-                partial = b""
-                async for chunk in response.exchange.chunks():
-                    *complete, partial = (partial + chunk).split(EVENT_END)
-                    check_event_size(partial)
-                    for event in complete:
-                        if not progress.has_events:
-                            progress.has_events = True
-                            self._record_begun(request, state)
-                        progress.record_event_id(self.parse_event_id(event))
-                        await send(event + EVENT_END)
-                if partial:
-                    await send(partial)
+                if is_event_stream(head):
+                    await self._forward_events(request, state, response.exchange, progress, send)
+                else:
+                    async for chunk in response.exchange.chunks():
+                        await send(chunk)
         except anyio.get_cancelled_exc_class():
             forwarder.record_cancelled(request, state, attempt)  # by its client or at its deadline
             raise
@@ -213,6 +209,47 @@
             state.in_flight -= 1
             forwarder.table.notify_listeners()
 
+    async def _forward_events(
+        self,
+        request: ForwardedRequest,
+        state: UpstreamState,
+        exchange: Exchange,
+        progress: "_Progress",
+        send: SendChunk,
+    ) -> None:
+        """Send the events of a response to its end; raise UpstreamError if it stops before.
+
+        A response that goes on with a stream must not repeat events that the client has.
+        """
+        resumed_after = progress.last_event_id
+        partial = b""
+        async for chunk in exchange.chunks():
+            *complete, partial = (partial + chunk).split(EVENT_END)
+            check_event_size(partial)
+            for event in complete:
+                event_id = self.parse_event_id(event)
+                if None not in (event_id, resumed_after) and event_id <= resumed_after:
+                    raise UpstreamError(
+                        f"upstream did not resume the stream after event {resumed_after}",
+                        step=Step.RECEIVE,
+                        peer=state.upstream.id,
+                    )
+                if not progress.has_events:
+                    progress.has_events = True
+                    self._record_begun(request, state)
+                progress.record_event_id(event_id)
+                await send(event + EVENT_END)
+        if partial.strip():
+            raise UpstreamError(
+                "stream ended in the middle of an event", step=Step.RECEIVE, peer=state.upstream.id
+            )
+
+
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response is a stream of events; its type may be missing."""
+    content_type = head.get(CONTENT_TYPE) or EVENT_STREAM
+    return head.status == STATUS_OK and content_type.lower().startswith(EVENT_STREAM)
+
 
 class _Progress:
     """Track the head and the last event id of a stream, starting from those of earlier attempts."""
