Complete an item only by a whole stream of events

Cause: a response with status 200 and the item's id was taken for the item's stream, and what its reader had left at the end was dropped.

The mend: the response must be a stream of events, must not end inside an event, and the text must have an event. Otherwise the attempt has failed.

The fakes for batches moved to tests/platform, as they speak the platform's protocol.

--- a/acaciarill/batches/__init__.py
+++ b/acaciarill/batches/__init__.py
@@ -3,7 +3,16 @@
 from ._heads import NotFoundError
 from ._log import ObjectAccess, ResultLog
 from ._manager import BatchManager, BatchPorts
-from ._model import BatchHead, Item, Result, ResultPage, ScoreRequest, StreamEvent, Submission
+from ._model import (
+    BatchHead,
+    EventParser,
+    Item,
+    Result,
+    ResultPage,
+    ScoreRequest,
+    StreamEvent,
+    Submission,
+)
 from ._runner import BatchRunner, RunnerPorts, select_priority_groups
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
 from ._texts import BatchTexts, TextCache, TextLimits
@@ -15,6 +24,7 @@
     "BatchRunner",
     "BatchTexts",
     "EngineScheduler",
+    "EventParser",
     "Item",
     "NotFoundError",
     "ObjectAccess",
--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -1,7 +1,8 @@
 """Define batches, their items and their results."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 
@@ -115,3 +116,13 @@
     id: int
     data: str
     version: int | None = None
+
+
+class EventParser(Protocol):
+    """Parse the chunks of one stream."""
+
+    def __call__(self, chunk: bytes) -> Iterable[StreamEvent]:
+        """Return the events that a chunk completes; raise UpstreamError if one is malformed."""
+
+    def check_end(self) -> None:
+        """Raise UpstreamError if the stream has ended in the middle of an event."""
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -1,7 +1,7 @@
 """Run the items of one owned batch and store their results."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -17,10 +17,11 @@
     Forwarder,
     Route,
     UpstreamState,
+    is_event_stream,
 )
 from ._checkpoint import TextCheckpoint
 from ._log import ResultLog
-from ._model import FIRST_EPOCH, BatchHead, Item, Result, ScoreRequest, StreamEvent, Submission
+from ._model import FIRST_EPOCH, BatchHead, EventParser, Item, Result, ScoreRequest, Submission
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
 from ._texts import BatchTexts, GeneratedText
 from .const import (
@@ -61,7 +62,7 @@
     sender: AttemptSender
     scheduler: EngineScheduler
     forwarder: Forwarder
-    event_reader: Callable[[], Callable[[bytes], Iterable[StreamEvent]]]
+    event_reader: Callable[[], EventParser]
     configuration: Callable[[], Configuration | None]
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
@@ -369,6 +370,8 @@
                     return head.status, "not run"
             if head.status != STATUS_OK:
                 return head.status, "failed"
+            if not is_event_stream(head):
+                raise UpstreamError("response is no stream of events", step=Step.RECEIVE)
             version = metadata.weight_version
             model = self.submission.model
             upstream = state.upstream
@@ -394,6 +397,9 @@
                     text.software_version = upstream.software_version
                     stream.slot_request.software_version = upstream.software_version
                     stream.record_event(ports.clock())
+            parse_events.check_end()
+            if not text.events:
+                raise UpstreamError("stream has ended without an event", step=Step.RECEIVE)
         state.record_success()
         return STATUS_OK, ""
 
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
-from ..batches import ObjectAccess, StreamEvent, Submission
+from ..batches import EventParser, ObjectAccess, Submission
 from ..control import OrderOutcome
 from ..edge import Request, Responder
 from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
@@ -62,7 +62,7 @@
     decode_upstream: Callable[[Record], Upstream]
     decode_version: Callable[[Record], tuple[str, int]]
     decode_submission: Callable[[bytes], Submission]
-    event_reader: Callable[[], Callable[[bytes], list[StreamEvent]]]
+    event_reader: Callable[[], EventParser]
     request_handler: Callable[["FleetDaemon"], Callable[[Request, Responder], Awaitable[None]]]
     duty_calls: Callable[["FleetDaemon"], "DutyPort"]
     is_retirement_completed: Callable[[Record], bool]
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -274,6 +274,11 @@
         check_event_size(self.partial_event)
         return [event for block in complete if (event := _parse_event(block)) is not None]
 
+    def check_end(self) -> None:
+        """Raise UpstreamError if the stream has ended in the middle of an event."""
+        if self.partial_event.strip():
+            raise UpstreamError("stream ended in the middle of an event", step=Step.RECEIVE)
+
 
 def _event_fields(block: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yield the names and values of an event's lines."""
--- a/tests/batches/test_endless_texts.py
+++ b/tests/batches/test_endless_texts.py
@@ -15,7 +15,7 @@
     find_excess,
 )
 from acaciarill.batches.const import UNRESTRICTED_TEXT_BYTES
-from tests.fakes.batches import make_item, running_batches, stream_events
+from tests.platform.batches import make_item, running_batches, stream_events
 
 TIMEOUT_S = 10.0
 EVENT_INTERVAL_S = 0.005
--- a/tests/batches/test_shared_items.py
+++ b/tests/batches/test_shared_items.py
@@ -5,7 +5,7 @@
 import anyio
 
 from acaciarill.batches import Result
-from tests.fakes.batches import make_item, running_batches, stream_events
+from tests.platform.batches import make_item, running_batches, stream_events
 
 TIMEOUT_S = 10.0
 EVENTS = 20
--- a/tests/batches/test_unreadable_addresses.py
+++ b/tests/batches/test_unreadable_addresses.py
@@ -7,7 +7,7 @@
 
 from acaciarill.edge import HttpPool
 from acaciarill.errors import Outcome, Step, UpstreamError
-from tests.fakes.batches import make_item, running_batches, stream_events
+from tests.platform.batches import make_item, running_batches, stream_events
 
 TIMEOUT_S = 5.0
 ADDRESSES = ("\ufffd7.\ufffd.1.4:8080", "127.0.0.1:99999", "x" * 70 + ":80")
--- a/tests/platform/batches.py
+++ b/tests/platform/batches.py
@@ -34,6 +34,7 @@
 from acaciarill.fleet._model import group_routes_by_host
 from acaciarill.platform._decode import EventReader
 from acaciarill.platform._headers import UPSTREAM_CODEC
+from tests.fakes.raw_upstream import RawUpstream
 from tests.fakes.store import FakeStore
 from tests.fakes.upstream import FakeUpstream, ResponseScript
 
@@ -100,18 +101,21 @@
 
 @asynccontextmanager
 async def running_batches(
-    *scripts: ResponseScript,
+    *scripts: ResponseScript | RawUpstream,
     slots: int = 8,
     limits: TextLimits | None = None,
     versions: tuple[int, ...] = (),
 ) -> AsyncIterator[RunningBatches]:
-    """Serve one engine for each script; the first is preferred. Yield the means to run batches.
+    """Serve one engine for each script, or engines that are given; the first is preferred.
 
     `versions` are the weight versions that the engines register, 1 if there are none.
     """
     clock = anyio.current_time
     async with anyio.create_task_group() as tasks:
-        engines = [FakeUpstream(script) for script in scripts]
+        engines = [
+            script if isinstance(script, RawUpstream) else FakeUpstream(script)
+            for script in scripts
+        ]
         for engine in engines:
             await engine.start(tasks)
         table = UpstreamTable("dc", clock, random.Random(1))
