Return waiting requests for slots that no longer hold: items missed a moved route

Cause: a runner read the route once and then waited without a limit for a slot of the service that it led to. Neither a newer configuration nor the end of the queue time ended the wait.

The mend: a request for a slot holds under one version of the configuration and until the end of the item's queue time; the scheduler returns those that no longer hold, and the runner reads the route again.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -1,5 +1,6 @@
 """Run the items of one owned batch and store their results."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -159,7 +160,14 @@
     def _exceeds_queue_time(self, route: Route) -> bool:
         if not route.max_queue_s:
             return False
-        return self.ports.wall_clock() > self.head.submitted_at + route.max_queue_s
+        return self.ports.wall_clock() >= self.head.submitted_at + route.max_queue_s
+
+    def _queue_expires_at(self, route: Route) -> float:
+        """Return when the queue time has passed, on the daemon's clock."""
+        if not route.max_queue_s:
+            return math.inf
+        remaining_s = self.head.submitted_at + route.max_queue_s - self.ports.wall_clock()
+        return self.ports.clock() + max(0.0, remaining_s)
 
     def _remaining_s(self, route: Route) -> float:
         """Return how long an engine may work on an item, which without a limit is a long time."""
@@ -235,6 +243,8 @@
             slot_request = self._slot_request(item, prioritized, route, text, avoided_upstream)
             started = self.ports.clock()
             async with self.ports.scheduler.acquire_slot(slot_request) as state:
+                if state is None:
+                    continue  # the route may lead elsewhere now, or the queue time has passed
                 waited = self.ports.clock() - started
                 self._clear_other_software(item, text, state)
                 status, reason = await self._attempt(item, route, text, state)
@@ -289,6 +299,7 @@
         text: GeneratedText,
         avoided_upstream: str,
     ) -> SlotRequest:
+        configuration = self.ports.configuration()
         deadline = self.head.submitted_at + route.result_deadline_s
         exact_version = text.versions[0] if route.single_version and text.versions else None
         return SlotRequest(
@@ -301,6 +312,8 @@
             avoided_upstream,
             text.software_version if text.events else None,
             len(text.events) < MIN_CHECKPOINT_EVENTS,
+            configuration.version if configuration is not None else 0,
+            self._queue_expires_at(route),
         )
 
     async def _attempt(
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -42,7 +42,8 @@
 
     The engine must serve at least `min_version` of the model, and `exact_version` if the item
     resumes a text whose route allows a single version. An item resumes a text only at engines of
-    its `software_version`; if `may_begin_anew`, it need not wait for one of them.
+    its `software_version`; if `may_begin_anew`, it need not wait for one of them. The request holds
+    under one version of the configuration, and until `expires_at` on the daemon's clock.
     """
 
     service: str
@@ -54,6 +55,8 @@
     avoided_upstream: str = ""
     software_version: str | None = None
     may_begin_anew: bool = False
+    configuration_version: int = 0
+    expires_at: float = math.inf
 
 
 @dataclass(slots=True)
@@ -102,9 +105,15 @@
 class EngineScheduler:
     """Assign free engine slots to waiting items, and stop streams on stalled or slow engines."""
 
-    def __init__(self, table: UpstreamTable, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        table: UpstreamTable,
+        clock: Callable[[], float],
+        configuration_version: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.table = table
         self.clock = clock
+        self.configuration_version = configuration_version
         self.waiters: list[_Waiter] = []
         self.active_streams: list[ActiveStream] = []
         self.group_upstreams: OrderedDict[str, str] = OrderedDict()
@@ -112,14 +121,16 @@
         table.subscribe(self.assign_slots)
 
     @asynccontextmanager
-    async def acquire_slot(self, slot_request: SlotRequest) -> AsyncIterator[UpstreamState]:
-        """Wait for a slot, and release it when the block ends."""
+    async def acquire_slot(self, slot_request: SlotRequest) -> AsyncIterator[UpstreamState | None]:
+        """Wait for a slot, and release it when the block ends.
+
+        Yield None once the request no longer holds: it must be made anew.
+        """
         waiter = _Waiter(slot_request)
         self.waiters.append(waiter)
         self.assign_slots()
         try:
             await waiter.ready.wait()
-            assert waiter.assigned is not None
             yield waiter.assigned
         finally:
             if waiter in self.waiters:
@@ -133,6 +144,7 @@
         if not self.waiters:
             return
         now = self.clock()
+        self._return_outdated_requests(now)
         open_states: dict[str, list[UpstreamState]] = {}
         for waiter in sorted(self.waiters, key=lambda waiter: waiter.slot_request.rank):
             service = waiter.slot_request.service
@@ -151,6 +163,18 @@
             self.waiters.remove(waiter)
             waiter.ready.set()
 
+    def _return_outdated_requests(self, now: float) -> None:
+        """Let the waiters go whose requests no longer hold."""
+        configuration_version = self.configuration_version()
+        for waiter in list(self.waiters):
+            slot_request = waiter.slot_request
+            if (
+                slot_request.configuration_version != configuration_version
+                or slot_request.expires_at <= now
+            ):
+                self.waiters.remove(waiter)
+                waiter.ready.set()
+
     def _remember_group_upstream(self, group: str, upstream: str) -> None:
         self.group_upstreams[group] = upstream
         self.group_upstreams.move_to_end(group)
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -175,7 +175,11 @@
             self.metrics.count_stream_lookup,
         )
         self.peers.stream_versions = self.stream_versions
-        self.scheduler = EngineScheduler(self.table, self.clock)
+        self.scheduler = EngineScheduler(
+            self.table,
+            self.clock,
+            lambda: self.configuration.version if self.configuration is not None else 0,
+        )
         runner = RunnerPorts(
             sender,
             self.scheduler,
--- a/tests/platform/batches.py
+++ b/tests/platform/batches.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import anyio
 import anyio.abc
@@ -69,14 +68,35 @@
     return script
 
 
-@dataclass(slots=True)
 class RunningBatches:
     """Hold what runners of one daemon share, and start runners."""
 
-    table: UpstreamTable
-    ports: RunnerPorts
-    texts: TextCache
-    task_group: anyio.abc.TaskGroup
+    def __init__(
+        self, table: UpstreamTable, texts: TextCache, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        clock = anyio.current_time
+        self.table = table
+        self.texts = texts
+        self.task_group = task_group
+        self.configure(ROUTE)
+        self.scheduler = EngineScheduler(table, clock, lambda: self.configuration.version)
+        sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock)
+        started_at = clock()
+        self.ports = RunnerPorts(
+            sender,
+            self.scheduler,
+            Forwarder(sender, table, clock, random.Random(1)),
+            EventReader,
+            lambda: self.configuration,
+            clock,
+            lambda: clock() - started_at,
+        )
+
+    def configure(self, route: Route, version: int = 1) -> None:
+        """Apply a version of the configuration with one route."""
+        self.configuration = Configuration(
+            version, group_routes_by_host([route]), {}, EdgeLimits(), {}
+        )
 
     def start(
         self, batch_id: str, *items: Item, min_version: int = 0, customer: str = "c"
@@ -105,10 +125,11 @@
     slots: int = 8,
     limits: TextLimits | None = None,
     versions: tuple[int, ...] = (),
+    services: tuple[str, ...] = (),
 ) -> AsyncIterator[RunningBatches]:
     """Serve one engine for each script, or engines that are given; the first is preferred.
 
-    `versions` are the weight versions that the engines register, 1 if there are none.
+    `versions` and `services` are what the engines register, 1 and "llm" if there are none.
     """
     clock = anyio.current_time
     async with anyio.create_task_group() as tasks:
@@ -124,7 +145,7 @@
                 Upstream(
                     f"e{number}",
                     f"e{number}",
-                    "llm",
+                    services[number] if services else "llm",
                     engine.address,
                     "dc" if number == 0 else "other",
                     slots,
@@ -134,25 +155,14 @@
                 for number, engine in enumerate(engines)
             ]
         )
-        sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock)
-        scheduler = EngineScheduler(table, clock)
-        configuration = Configuration(1, group_routes_by_host([ROUTE]), {}, EdgeLimits(), {})
-        ports = RunnerPorts(
-            sender,
-            scheduler,
-            Forwarder(sender, table, clock, random.Random(1)),
-            EventReader,
-            lambda: configuration,
-            clock,
-            lambda: 0.0,
-        )
+        batches = RunningBatches(table, TextCache(limits), tasks)
 
         async def run_scheduler() -> None:
             while True:
                 await anyio.sleep(SCHEDULER_PERIOD_S)
-                scheduler.assign_slots()
-                scheduler.stop_lagging_streams()
+                batches.scheduler.assign_slots()
+                batches.scheduler.stop_lagging_streams()
 
         tasks.start_soon(run_scheduler)
-        yield RunningBatches(table, ports, TextCache(limits), tasks)
+        yield batches
         tasks.cancel_scope.cancel()
