--- a/acaciarill/batches/__init__.py
+++ b/acaciarill/batches/__init__.py
@@ -13,7 +13,8 @@
     StreamEvent,
     Submission,
 )
-from ._runner import BatchRunner, RunnerPorts, select_priority_groups
+from ._runner import BatchRunner
+from ._runner_ports import RunnerPorts, select_priority_groups
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
 from ._texts import BatchTexts, TextCache, TextLimits
 
--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -15,7 +15,8 @@
 from ._log import ObjectAccess, ResultLog
 from ._model import BatchHead, Submission
 from ._reading import ReadAtOwner, ResultReader
-from ._runner import BatchRunner, RunnerPorts
+from ._runner import BatchRunner
+from ._runner_ports import RunnerPorts
 from ._texts import BatchTexts, TextCache, TextLimits
 from .const import BATCH_RETENTION_S, KIND_HEADS, KIND_TEXTS, RUN_RETRY_DELAY_S
 
--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -2,28 +2,24 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 from eliot import log_message
 
-from ..errors import AcaciarillError, Outcome, Step, UpstreamError
+from ..errors import Step, UpstreamError
 from ..fleet import (
     WRONG_RESPONSE,
     Attempt,
-    AttemptSender,
-    Configuration,
-    ForwardedRequest,
-    Forwarder,
     Route,
     UpstreamState,
     is_event_stream,
 )
 from ._checkpoint import TextCheckpoint
 from ._log import ResultLog
-from ._model import FIRST_EPOCH, BatchHead, EventParser, Item, Result, ScoreRequest, Submission
-from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
+from ._model import FIRST_EPOCH, BatchHead, Item, Result, Submission
+from ._runner_ports import ItemFailedError, RunnerPorts, select_priority_groups
+from ._scheduler import ActiveStream, SlotRequest
+from ._scoring import score_text
 from ._texts import BatchTexts, GeneratedText
 from .const import (
     APPEND_LINGER_S,
@@ -35,8 +31,6 @@
     MIN_CHECKPOINT_EVENTS,
     REQUEST_ID_PLACEHOLDER,
     ROUTE_POLL_PERIOD_S,
-    SCORE_RETRY_DELAY_S,
-    SCORE_TIMEOUT_S,
     STATE_COMPLETED,
     STATE_FAILED,
     STOP_IDLE,
@@ -52,36 +46,6 @@
 STATUS_SERVER_ERROR = 500
 
 
-@dataclass(slots=True)
-class RunnerPorts:
-    """Hold the dependencies that runners share: engines, scoring, the configuration and clocks.
-
-    `event_reader` creates a parser for the chunks of one stream. `clock` returns seconds on the
-    daemon's clock, `wall_clock` seconds since 1970.
-    """
-
-    sender: AttemptSender
-    scheduler: EngineScheduler
-    forwarder: Forwarder
-    event_reader: Callable[[], EventParser]
-    configuration: Callable[[], Configuration | None]
-    clock: Callable[[], float]
-    wall_clock: Callable[[], float]
-
-
-def select_priority_groups(submission: Submission) -> set[str]:
-    """Return the groups to finish first: those whose longest text is expected to be shortest."""
-    longest: dict[str, int] = {}
-    for item in submission.items:
-        longest[item.group] = max(longest.get(item.group, 0), item.expected_tokens)
-    count = submission.desired_groups or len(longest)
-    return set(sorted(longest, key=lambda group: longest[group])[:count])
-
-
-class _ItemFailedError(Exception):
-    """Report that an item cannot be completed."""
-
-
 class BatchRunner:
     """Generate, score and store every item of a batch that has no stored result."""
 
@@ -151,7 +115,7 @@
             if route is not None:
                 return route
             if configuration is not None and configuration.version >= self.head.configuration:
-                raise _ItemFailedError("route is no longer in the configuration")
+                raise ItemFailedError("route is no longer in the configuration")
             await anyio.sleep(ROUTE_POLL_PERIOD_S)
 
     async def _batch_route(self) -> Route:
@@ -199,7 +163,7 @@
         result = Result(item.id, STATE_FAILED)
         try:
             result = await self._produce_result(item, prioritized)
-        except _ItemFailedError as reason:
+        except ItemFailedError as reason:
             log_message(
                 message_type="item:failed",
                 batch=self.batch_id,
@@ -218,7 +182,11 @@
             await anyio.sleep(TAKEOVER_DELAY_S)
         with self.texts.open_text(item, min_version, route.single_version) as text:
             await self._generate(item, prioritized, text)
-            score = await self._score(item.score) if item.score is not None else None
+            score = None
+            if item.score is not None:
+                score = await score_text(
+                    item.score, self.ports, self._route, self._check_queue_time
+                )
             output = "\n".join(text.events)
             versions = tuple(sorted(text.versions))
         result = Result(item.id, STATE_COMPLETED, output, versions, score)
@@ -233,13 +201,12 @@
             self.group_finished.set()
 
     async def _generate(self, item: Item, prioritized: bool, text: GeneratedText) -> None:
-        """Generate the whole text, resuming on other engines; raise _ItemFailedError."""
+        """Generate the whole text, resuming on other engines; raise ItemFailedError."""
         failures = 0
         avoided_upstream = ""
         while True:
+            await self._check_queue_time()
             route = await self._batch_route()
-            if self._exceeds_queue_time(route):
-                raise _ItemFailedError("item exceeded the queue time")
             slot_request = self._slot_request(item, prioritized, route, text, avoided_upstream)
             started = self.ports.clock()
             async with self.ports.scheduler.acquire_slot(slot_request) as state:
@@ -266,11 +233,11 @@
             if status == STATUS_OK and not reason:
                 return
             if status == STATUS_UNPROCESSABLE:
-                raise _ItemFailedError("engine rejected the item as unprocessable")
+                raise ItemFailedError("engine rejected the item as unprocessable")
             if status == STATUS_SERVER_ERROR and reason == "failed":
                 failures += 1
                 if failures >= route.max_attempts:
-                    raise _ItemFailedError("all allowed attempts failed")
+                    raise ItemFailedError("all allowed attempts failed")
             avoided_upstream = state.upstream.id
             if reason not in (STOP_IDLE, STOP_SLOW):  # these have a free slot elsewhere
                 delay_s = FULL_RETRY_DELAY_S if reason == "not run" else FAILED_RETRY_DELAY_S
@@ -428,35 +395,7 @@
             return False
         return True
 
-    async def _score(self, score: ScoreRequest) -> str:
-        """Score a finished text and return the server stamp of the scorer's response."""
-        errors = 0
-        while True:
-            route = await self._route(score.host, score.path)
-            request = ForwardedRequest(
-                score.id,
-                "POST",
-                score.path,
-                [(b"Host", score.host.encode()), (REQUEST_ID_PLACEHOLDER, score.id.encode())],
-                score.body,
-                route,
-                route.choose_service(self.ports.forwarder.rng.random()),
-                "",
-                self.ports.clock() + SCORE_TIMEOUT_S,
-                metered=False,
-                background=True,
-            )
-            try:
-                http_response = await self.ports.forwarder.forward(request)
-                server_stamp = self.ports.sender.codec.decode(http_response.head).server_stamp
-                if http_response.head.status // 100 == 2 and server_stamp:
-                    return server_stamp
-            except AcaciarillError as error:
-                if error.outcome is Outcome.NOT_RUN and error.retry_after_s:
-                    await anyio.sleep(error.retry_after_s)
-            errors += request.server_error_count
-            if errors >= route.max_attempts:
-                raise _ItemFailedError("all allowed scoring attempts failed")
-            if self._exceeds_queue_time(await self._batch_route()):
-                raise _ItemFailedError("scoring exceeded the queue time")
-            await anyio.sleep(SCORE_RETRY_DELAY_S)
+    async def _check_queue_time(self) -> None:
+        """Raise ItemFailedError once the queue time has passed."""
+        if self._exceeds_queue_time(await self._batch_route()):
+            raise ItemFailedError("item exceeded the queue time")
--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -1,5 +1,6 @@
 """Provide an HTTP/1.1 server and client that control each connection themselves."""
 
+from ._checks import check_event_size, check_request
 from ._client import (
     CONNECTION_LOST,
     CONNECTION_REFUSED,
@@ -7,8 +8,6 @@
     HttpPool,
     HttpResponse,
     ResponseHead,
-    check_event_size,
-    check_request,
 )
 from ._server import EdgeLimits, EdgeServer, Request, Responder
 
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -12,13 +12,10 @@
 
 from ..addresses import check_address, split_address
 from ..errors import Outcome, Step, UpstreamError
-from ..numerals import parse_natural
+from ._checks import idle_reuse_s
 from .const import (
     CONNECT_TIMEOUT_S,
-    DEFAULT_IDLE_REUSE_S,
-    IDLE_REUSE_MARGIN_S,
     MAX_BUFFERED_BYTES,
-    MAX_EVENT_BYTES,
     MAX_INLINE_REQUEST_BYTES,
     MAX_INTERIM_HEADS,
     MAX_RESPONSE_BYTES,
@@ -362,7 +359,8 @@
         if protocol.trailing_data[0]:
             return False  # bytes after a complete response belong to no request
         protocol.start_next_cycle()
-        connection.usable_until = self.clock() + _idle_reuse_s(exchange.head)
+        keep_alive = exchange.head.get(b"keep-alive") if exchange.head is not None else None
+        connection.usable_until = self.clock() + idle_reuse_s(keep_alive)
         self.idle_connections.setdefault(key, []).append(connection)
         return True
 
@@ -374,28 +372,10 @@
         return await anyio.connect_tcp(host, port)
 
 
-def check_request(target: str, headers: Headers) -> None:
-    """Raise ValueError if a request with this target and these headers cannot be sent."""
-    try:
-        h11.Request(method="POST", target=target, headers=list(headers))
-    except h11.LocalProtocolError as error:
-        raise ValueError(f"request cannot be sent: {error}") from error
-
-
 def _is_refusal(error: Exception) -> bool:
     return isinstance(error.__cause__ or error, ConnectionRefusedError)
 
 
-def check_event_size(partial_event: bytes) -> None:
-    """Raise UpstreamError if the incomplete event at the end of a stream is too long."""
-    if len(partial_event) > MAX_EVENT_BYTES:
-        raise UpstreamError(
-            f"event is longer than {MAX_EVENT_BYTES} bytes",
-            step=Step.RECEIVE,
-            outcome=Outcome.UNKNOWN,
-        )
-
-
 async def _send_ignoring_lost_connection(exchange: Exchange, data: bytes) -> None:
     """Send a long request; a lost connection is reported when the response is read."""
     try:
@@ -404,16 +384,6 @@
         return
 
 
-def _idle_reuse_s(head: ResponseHead | None) -> float:
-    """Return the seconds for which an idle connection may be reused, by the Keep-Alive header."""
-    keep_alive = head.get(b"keep-alive") if head is not None else None
-    for part in (keep_alive or "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and (timeout_s := parse_natural(value)) is not None:
-            return max(0.0, timeout_s - IDLE_REUSE_MARGIN_S)
-    return DEFAULT_IDLE_REUSE_S
-
-
 def _abort_connection(connection: _Connection) -> None:
     connection_socket = connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
     with suppress(OSError):
