Wake waiting items only if their route has changed

Under many versions of the configuration in a row each waiting item made its request anew, and each request sorts all waiting ones. The scheduler asks now whether the route is still the same, and returns the request only if it is not.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -118,6 +118,12 @@
                 raise ItemFailedError("route is no longer in the configuration")
             await anyio.sleep(ROUTE_POLL_PERIOD_S)
 
+    def _find_batch_route(self) -> Route | None:
+        configuration = self.ports.configuration()
+        if configuration is None:
+            return None
+        return configuration.find_route(self.head.host, self.head.path)
+
     async def _batch_route(self) -> Route:
         return await self._route(self.head.host, self.head.path)
 
@@ -281,6 +287,7 @@
             len(text.events) < MIN_CHECKPOINT_EVENTS,
             configuration.version if configuration is not None else 0,
             self._queue_expires_at(route),
+            lambda: self._find_batch_route() == route,
         )
 
     async def _attempt(
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -43,7 +43,8 @@
     The engine must serve at least `min_version` of the model, and `exact_version` if the item
     resumes a text whose route allows a single version. An item resumes a text only at engines of
     its `software_version`; if `may_begin_anew`, it need not wait for one of them. The request holds
-    under one version of the configuration, and until `expires_at` on the daemon's clock.
+    until `expires_at` on the daemon's clock, and while `has_same_route` says so, which is asked
+    again under each version of the configuration.
     """
 
     service: str
@@ -57,6 +58,7 @@
     may_begin_anew: bool = False
     configuration_version: int = 0
     expires_at: float = math.inf
+    has_same_route: Callable[[], bool] = lambda: True
 
 
 @dataclass(slots=True)
@@ -165,13 +167,14 @@
 
     def _return_outdated_requests(self, now: float) -> None:
         """Let the waiters go whose requests no longer hold."""
-        configuration_version = self.configuration_version()
+        version = self.configuration_version()
         for waiter in list(self.waiters):
             slot_request = waiter.slot_request
-            if (
-                slot_request.configuration_version != configuration_version
-                or slot_request.expires_at <= now
-            ):
+            holds = slot_request.expires_at > now
+            if holds and slot_request.configuration_version != version:
+                slot_request.configuration_version = version
+                holds = slot_request.has_same_route()
+            if not holds:
                 self.waiters.remove(waiter)
                 waiter.ready.set()
 
--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -20,9 +20,8 @@
 class Attempt:
     """Hold the parameters of one attempt; `remaining_s` is the time until the request's deadline.
 
-    Its response carries `request_id`.
-    `resume_after` is the id of the last event of a stream that was received before. `sent` is set
-    and `on_sent` is called right before the first byte is sent.
+    Its response carries `request_id`. `resume_after` is the id of the last event of a stream that
+    was received before. `sent` is set and `on_sent` is called right before the first byte is sent.
     """
 
     upstream: Upstream
