--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -214,6 +214,9 @@
             await self._check_queue_time()
             route = await self._batch_route()
             slot_request = self._slot_request(item, prioritized, route, text, avoided_upstream)
+            if self.ports.scheduler.is_version_gone(slot_request):
+                self._begin_anew(item, text, previous_version=slot_request.exact_version)
+                continue
             started = self.ports.clock()
             async with self.ports.scheduler.acquire_slot(slot_request) as state:
                 if state is None:
@@ -254,13 +257,21 @@
         software_version = state.upstream.software_version
         if not text.events or text.software_version == software_version:
             return
+        self._begin_anew(
+            item,
+            text,
+            previous_software_version=text.software_version,
+            software_version=software_version,
+        )
+
+    def _begin_anew(self, item: Item, text: GeneratedText, **reason: object) -> None:
+        """Drop the text of an item that no engine can go on with."""
         log_message(
             message_type="item:begun_anew",
             batch=self.batch_id,
             request=item.id,
             events=len(text.events),
-            previous_software_version=text.software_version,
-            software_version=software_version,
+            **reason,
         )
         self.texts.clear_text(item, text)
 
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -170,7 +170,7 @@
         version = self.configuration_version()
         for waiter in list(self.waiters):
             slot_request = waiter.slot_request
-            holds = slot_request.expires_at > now
+            holds = slot_request.expires_at > now and not self.is_version_gone(slot_request)
             if holds and slot_request.configuration_version != version:
                 slot_request.configuration_version = version
                 holds = slot_request.has_same_route()
@@ -178,6 +178,18 @@
                 self.waiters.remove(waiter)
                 waiter.ready.set()
 
+    def is_version_gone(self, slot_request: SlotRequest) -> bool:
+        """Return whether the engines have only newer versions than the one that is required."""
+        if slot_request.exact_version is None:
+            return False
+        versions = [
+            version
+            for state in self.table.states_for(slot_request.service)
+            if not state.has_left()
+            and (version := state.newest_version(slot_request.model)) is not None
+        ]
+        return bool(versions) and min(versions) > slot_request.exact_version
+
     def _remember_group_upstream(self, group: str, upstream: str) -> None:
         self.group_upstreams[group] = upstream
         self.group_upstreams.move_to_end(group)
--- a/tests/batches/test_runner.py
+++ b/tests/batches/test_runner.py
@@ -40,6 +40,9 @@
     async def acquire_slot(self, slot_request: Any) -> AsyncIterator[UpstreamState]:
         yield self.state
 
+    def is_version_gone(self, slot_request: Any) -> bool:
+        return False
+
 
 class OneEventRunner(BatchRunner):
     """Complete each text with a single event."""
--- a/tests/batches/test_waiting_items.py
+++ b/tests/batches/test_waiting_items.py
@@ -75,3 +75,24 @@
                 while not runner.log.results:
                     await anyio.sleep(0.02)
             self.assertEqual(runner.log.results[0].state, STATE_COMPLETED)
+
+    # Shown by the review and given up for case 1: on a route with a single version, texts that an
+    # engine had begun were never sent to engines of the next version once it was lost.
+    async def test_text_of_a_version_that_is_gone_begins_anew(self) -> None:
+        old = stream_events(None, lambda number: b"old%d" % number, 1, interval_s=0.02)
+        new = stream_events(3, lambda number: b"e%d" % number, 2)
+        async with running_batches(old, new, versions=(1, 2)) as batches:
+            batches.configure(replace(ROUTE, single_version=True))
+            batches.table.states["e1"].in_flight += 8
+            runner = batches.start("b1", make_item("a"))
+            await anyio.sleep(0.2)
+            batches.table.states["e1"].in_flight -= 8
+            batches.table.update([batches.table.states["e1"].upstream])
+            with anyio.fail_after(TIMEOUT_S):
+                while not runner.log.results:
+                    for stream in batches.scheduler.active_streams:
+                        if stream.state.upstream.id == "e0":
+                            stream.scope.cancel()  # the lost engine's connection breaks
+                    await anyio.sleep(0.02)
+            self.assertEqual(runner.log.results[0].text, "e1\ne2\ne3")
+            self.assertEqual(runner.log.results[0].versions, (2,))
