Shorten the values in errors of decoding

An error of a decoded value showed the whole value, which a submission or an entry may make a megabyte long; it went into a log line. It shows the first 80 characters now. The new test fails on the code before.

--- a/acaciarill/addresses.py
+++ b/acaciarill/addresses.py
@@ -7,22 +7,26 @@
 from .errors import ConfigError, ConfigFault
 
 MAX_PORT = 65535
+MAX_SHOWN_CHARACTERS = 40
 
 
 def check_address(address: str) -> str:
     """Return an `ip:port` with a literal IP address; raise ValueError if it is not one."""
     host, separator, port = address.rpartition(":")
+    shown_host = repr(host[:MAX_SHOWN_CHARACTERS])
     if not separator:
         raise ValueError("expected ip:port")
     try:
         ip = ipaddress.ip_address(host.strip("[]"))
     except ValueError as error:
-        raise ValueError(f"expected a literal IP address, got {host!r}") from error
+        raise ValueError(f"expected a literal IP address, got {shown_host}") from error
     if getattr(ip, "scope_id", None) is not None:  # may hold any text
-        raise ValueError(f"expected an IP address without a scope, got {host!r}")
+        raise ValueError(f"expected an IP address without a scope, got {shown_host}")
     is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
     if not is_number or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"expected a port from 1 to {MAX_PORT}, got {port[:20]!r}")
+        raise ValueError(
+            f"expected a port from 1 to {MAX_PORT}, got {port[:MAX_SHOWN_CHARACTERS]!r}"
+        )
     return address
 
 
--- a/acaciarill/untrusted_json.py
+++ b/acaciarill/untrusted_json.py
@@ -8,6 +8,7 @@
 MAX_NESTING = 100
 """Values that are nested deeper could be decoded here, but not encoded again for a peer."""
 
+MAX_SHOWN_CHARACTERS = 80
 MAX_INTEGER = 2**63 - 1
 """Limit of integers, which are sent to peers as 64-bit ones."""
 
@@ -95,35 +96,41 @@
 def require_string(value: Any) -> str:
     """Return a string; raise TypeError if the value is none."""
     if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {value!r}")
+        raise TypeError(f"expected a string, got {_shorten(value)}")
     return value
 
 
 def require_integer(value: Any) -> int:
     """Return an integer from 0 to MAX_INTEGER; raise TypeError or ValueError."""
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"expected an integer, got {value!r}")
+        raise TypeError(f"expected an integer, got {_shorten(value)}")
     if not 0 <= value <= MAX_INTEGER:
-        raise ValueError(f"expected an integer from 0 to {MAX_INTEGER}, got {value}")
+        raise ValueError(f"expected an integer from 0 to {MAX_INTEGER}, got {_shorten(value)}")
     return value
 
 
 def require_boolean(value: Any) -> bool:
     """Return a truth value; raise TypeError if the value is none."""
     if not isinstance(value, bool):
-        raise TypeError(f"expected true or false, got {value!r}")
+        raise TypeError(f"expected true or false, got {_shorten(value)}")
     return value
 
 
 def require_list(value: Any) -> list[Any]:
     """Return a list; raise TypeError if the value is none."""
     if not isinstance(value, list):
-        raise TypeError(f"expected a list, got {value!r}")
+        raise TypeError(f"expected a list, got {_shorten(value)}")
     return value
 
 
 def require_object(value: Any) -> dict[str, Any]:
     """Return an object; raise TypeError if the value is none."""
     if not isinstance(value, dict):
-        raise TypeError(f"expected an object, got {value!r}")
+        raise TypeError(f"expected an object, got {_shorten(value)}")
     return value
+
+
+def _shorten(value: Any) -> str:
+    """Return the begin of a value's text, for error messages."""
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN_CHARACTERS else text[:MAX_SHOWN_CHARACTERS] + "..."
--- a/tests/test_untrusted_json.py
+++ b/tests/test_untrusted_json.py
@@ -11,6 +11,9 @@
     UnreadableValueError,
     check_nesting,
     decode_value,
+    require_integer,
+    require_list,
+    require_string,
     split_array,
     split_object,
 )
@@ -91,3 +94,18 @@
     def test_readable_values_can_be_encoded_again(self, value: object) -> None:
         check_nesting(value)
         orjson.dumps([[value]])
+
+
+class RequiredTypeTest(unittest.TestCase):
+    """Require types of decoded values."""
+
+    def test_error_shows_only_the_begin_of_a_long_value(self) -> None:
+        for require, value in (
+            (require_integer, "x" * 10_000),
+            (require_string, [1] * 10_000),
+            (require_list, "x" * 10_000),
+            (require_integer, -(10**300)),
+        ):
+            with self.assertRaises((TypeError, ValueError)) as caught:
+                require(value)
+            self.assertLess(len(str(caught.exception)), 200)
