--- a/tests/platform/raw_fleet.py
+++ b/tests/platform/raw_fleet.py
@@ -133,7 +133,9 @@
 
 
 @asynccontextmanager
-async def raw_fleet(route: Route, *answers: Answer) -> AsyncIterator[RawFleet]:
+async def raw_fleet(
+    route: Route, *answers: Answer, more_routes: tuple[Route, ...] = ()
+) -> AsyncIterator[RawFleet]:
     """Run a daemon's edge with one upstream for each answer; they are chosen in their order."""
     clock = anyio.current_time
     async with anyio.create_task_group() as tasks:
@@ -150,7 +152,9 @@
         for i, name in enumerate(sorted(table.states)):
             table.states[name].in_flight = i
         sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock)
-        configuration = Configuration(1, group_routes_by_host([route]), {}, EdgeLimits(), {})
+        configuration = Configuration(
+            1, group_routes_by_host([route, *more_routes]), {}, EdgeLimits(), {}
+        )
         members = Members("f1", "f1", "dc", "front", clock)
 
         async def ask(holder: str, key: str) -> None:
