Send a request again on another connection than its first attempt

The mend: a connection remembers the last ids that it has carried, and no request is sent on it again with one of them. Attempts of live requests were not affected: their connections are closed after a failed attempt.

SameRequestTest fails without the mend.

--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
     MAX_BUFFERED_BYTES,
     MAX_INLINE_REQUEST_BYTES,
     MAX_INTERIM_HEADS,
+    MAX_RECENT_REQUEST_IDS,
     MAX_RESPONSE_BYTES,
     READ_CHUNK_BYTES,
     TCP_USER_TIMEOUT_MS,
@@ -75,6 +77,9 @@
     protocol: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     used: bool = False
     usable_until: float = 0.0
+    recent_request_ids: deque[str] = field(
+        default_factory=lambda: deque(maxlen=MAX_RECENT_REQUEST_IDS)
+    )
 
     def is_reusable(self) -> bool:
         """Return whether an idle connection is open and has no unsolicited bytes to read."""
@@ -222,19 +227,23 @@
         body: bytes = b"",
         *,
         lifetime: str = "",
+        request_id: str = "",
         new_connection: bool = False,
         before_send: BeforeSend | None = None,
     ) -> AsyncIterator[Exchange]:
         """Send one request and yield the exchange to read the response from; raise UpstreamError.
 
+        A request with the id of an earlier one gets another connection: a second copy of the
+        earlier response could not be told from its own.
         The connection returns to the pool only if the block has read a complete response that
         allows reuse.
         """
         key = (address, lifetime)
-        connection = None if new_connection else self._take_idle_connection(key)
+        connection = None if new_connection else self._take_idle_connection(key, request_id)
         is_first = connection is None
         if connection is None:
             connection = await self._connect(address)
+        connection.recent_request_ids.append(request_id)
         exchange = Exchange(connection, self.buffers, is_first)
         returned_to_pool = False
         try:
@@ -304,10 +313,13 @@
             else:
                 del self.idle_connections[key]
 
-    def _take_idle_connection(self, key: tuple[str, str]) -> _Connection | None:
-        connections = self.idle_connections.get(key)
-        while connections:
-            connection = connections.pop()
+    def _take_idle_connection(self, key: tuple[str, str], request_id: str) -> _Connection | None:
+        """Return a usable connection that has not carried a request with this id lately."""
+        connections = self.idle_connections.get(key, [])
+        for connection in reversed(list(connections)):
+            if request_id and request_id in connection.recent_request_ids:
+                continue
+            connections.remove(connection)
             if connection.usable_until > self.clock() and connection.is_reusable():
                 return connection
             _abort_connection(connection)
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -19,6 +19,8 @@
 UNRESTRICTED_RESPONSE_BYTES = 64 * 1024
 MAX_INTERIM_HEADS = 8
 """Limit of informational heads before the response's own."""
+MAX_RECENT_REQUEST_IDS = 8
+"""How many ids of requests a connection remembers, so that none of them is sent on it again."""
 MAX_EVENT_BYTES = 256 * 1024
 """Limit of the bytes of a stream that are buffered until the end of an event."""
 
--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -146,6 +146,7 @@
                 self.codec.encode(headers, attempt),
                 body,
                 lifetime=state.upstream.lifetime,
+                request_id=attempt.request_id,
                 new_connection=not attempt.request_id,
                 before_send=check_before_send,
             ) as exchange:
--- a/tests/fleet/test_repeated_responses.py
+++ b/tests/fleet/test_repeated_responses.py
@@ -24,6 +24,7 @@
     StreamForwarder,
     Upstream,
     UpstreamCodec,
+    UpstreamState,
     UpstreamTable,
 )
 from acaciarill.fleet._attempts import belongs_to_request
@@ -131,6 +132,36 @@
             self.assertFalse(state.is_leaving or state.others_in_flight)
 
 
+class SameRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Send a request again to an upstream that repeats its first response."""
+
+    # Found by the soak of broken replicas (seed 13): a second copy of an item's failed response
+    # counted as the failure of its second attempt, and the item was given up too soon.
+    async def test_request_is_not_sent_again_on_the_connection_of_its_first_response(self) -> None:
+        def answer(request: RawRequest) -> RawAnswer:
+            headers = {"X-Request-Id": request.headers["x-request-id"]}
+            failed = encode_response(500, headers, b"failed")
+            sound = encode_response(200, headers, b"sound")
+            if len(upstream.requests) == 1:
+                return RawAnswer(failed)
+            return RawAnswer(failed + sound if request.number > 1 else sound)
+
+        upstream = RawUpstream(answer)
+        clock = anyio.current_time
+        sender = AttemptSender(HttpPool(clock), UpstreamCodec(encode, decode), clock)
+        statuses = []
+        async with anyio.create_task_group() as tasks:
+            await upstream.start(tasks)
+            state = UpstreamState(Upstream("u", "u", "s", upstream.address, "dc", 8))
+            for _ in range(2):
+                attempt = Attempt(state.upstream, "same", 2.0)
+                async with sender.open(state, attempt, "POST", "/", [], b"") as response:
+                    statuses.append(response.head.status)
+                    await response.exchange.read_body()
+            tasks.cancel_scope.cancel()
+        self.assertEqual(statuses, [500, 200])
+
+
 class BelongsTest(unittest.TestCase):
     """Decide whose a response is."""
 
