--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -95,6 +95,7 @@
             self.wall_clock.now,
             self.metrics.count_unreadable,
         )
+        self.metrics.watch_mirrors(self.mirrors.followers)
         self._build_peers()
         self._build_serving()
         self._build_duties()
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from ..batches import TextCache
+from ..mirrors import MirrorFollower
 
 
 class Metrics:
@@ -78,6 +79,13 @@
             registry=self.registry,
         )
 
+        self.mirror_age = Gauge(
+            "acaciarill_mirror_unconfirmed_seconds",
+            "Time since the local copy of a kind of objects was last known to be up to date",
+            ["kind"],
+            registry=self.registry,
+        )
+
     def count_unreadable(self, kind: str) -> None:
         """Count one version of a stored object that could not be decoded."""
         self.unreadable.labels(kind).inc()
@@ -87,6 +95,11 @@
         self.text_bytes.labels("unfinished").set_function(lambda: texts.text_bytes)
         self.text_bytes.labels("result").set_function(lambda: texts.result_bytes)
 
+    def watch_mirrors(self, followers: dict[str, MirrorFollower]) -> None:
+        """Report the age of each mirror whenever the metrics are read."""
+        for kind, follower in followers.items():
+            self.mirror_age.labels(kind).set_function(follower.unconfirmed_for_s)
+
     def count_crash(self) -> None:
         """Count a request that was running at an upstream when it crashed."""
         self.crashes.inc()
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -111,11 +111,14 @@
             return
         if self.configuration is not None and decoded.version <= self.configuration.version:
             return
+        follower = self.followers[self.ports.kinds.configuration]
         log_message(
             message_type="config:applied",
             version=decoded.version,
             previous_version=self.configuration.version if self.configuration else None,
-            position=self.mirror(self.ports.kinds.configuration).position,
+            position=follower.mirror.position,
+            from_peer=follower.paused,
+            unconfirmed_s=round(follower.unconfirmed_for_s(), 2),
         )
         self.configuration = decoded
         for listener in list(self.configuration_listeners):
