Keep changes within their limit as one sum when a watcher or its watch falls silent

Cause: delays that are each bounded add up. A daemon with callers noticed a silent watcher after up to 1.5 s, then asked each other watcher in turn for up to 1 s, and followed the store only when none was left, though it reached the store all the while. A watcher whose own watch had fallen silent noticed after 2.1 s and served its mirrors for another second.

Ruled out: that a configuration waits behind an odd entry of another list.

Why it works: a lost watcher is bridged by the store after 0.1 s, for the kinds whose changes are timed (configuration with its keys, registrations of upstreams). A watcher counts such a mirror as outdated once the answer to its watch is 0.3 s overdue, wakes the daemons that wait for its changes, and refuses. The watch of registrations leaves time for the 0.3 s in which changes are gathered. One test holds both sums, for all timed kinds, below the limit: 1.9 s at most, with 0.3 s for responses.

--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -112,6 +112,7 @@
             self.members,
             self.channel,
             self.mirrors.followers,
+            self.mirrors.urgent_kinds,
             self.request_counter,
             settings.seeds,
             self.task_group,
@@ -122,7 +123,11 @@
         self.feed: MirrorFeed | None = None
         if settings.role == ROLE_FRONT:
             self.feed = MirrorFeed(
-                self.members, self.peers.links, self.mirrors.followers, self.clock
+                self.members,
+                self.peers.links,
+                self.mirrors.followers,
+                self.clock,
+                self.mirrors.urgent_kinds,
             )
         else:
             # Tell all daemons of a new configuration at once.
--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -3,11 +3,13 @@
 The messages between daemons call a mirror a view.
 """
 
+import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import anyio
+import anyio.abc
 from eliot import log_message
 
 from ..errors import Outcome, PeerError, Step
@@ -17,6 +19,8 @@
 from .const import (
     FEED_BACKOFF_MAX_S,
     FEED_BACKOFF_S,
+    FEED_BRIDGE_DELAY_S,
+    FEED_OVERDUE_AFTER_S,
     FEED_POLL_WAIT_S,
     FEED_REFUSED_BACKOFF_S,
     FEED_RETRY_DELAY_S,
@@ -26,11 +30,16 @@
 )
 
 MS_PER_S = 1000
+OUTDATED_CHECK_MARGIN_S = 0.005
+"""Added to the wait until a mirror is outdated, so that it is when the wait ends."""
 Followers = dict[str, MirrorFollower]
 
 
 class MirrorFeed:
-    """Receive the changes of all mirrors from one watcher, or from the store if there is none."""
+    """Receive the changes of all mirrors from one watcher, or from the store if there is none.
+
+    While a lost watcher is being replaced, the mirrors of `urgent_kinds` follow the store.
+    """
 
     def __init__(
         self,
@@ -38,7 +47,10 @@
         links: PeerLinks,
         followers: Followers,
         clock: Callable[[], float],
+        urgent_kinds: Collection[str] = (),
     ) -> None:
+        self.urgent_kinds = urgent_kinds
+        self.is_replacing_watcher = False
         self.members = members
         self.links = links
         self.followers = followers
@@ -49,16 +61,33 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        while True:
-            watcher = self.choose_watcher()
-            if watcher is None:
-                self._follow_store()
-                await anyio.sleep(FEED_RETRY_DELAY_S)
-                continue
-            try:
-                await self._receive_changes(watcher)
-            except PeerError as error:
-                self._back_off(watcher.name, error)
+        async with anyio.create_task_group() as bridges:
+            while True:
+                watcher = self.choose_watcher()
+                if watcher is None:
+                    self._follow_store()
+                    await anyio.sleep(FEED_RETRY_DELAY_S)
+                    continue
+                try:
+                    await self._receive_changes(watcher)
+                except PeerError as error:
+                    self._back_off(watcher.name, error)
+                    self._start_bridge(bridges)
+
+    def _start_bridge(self, bridges: anyio.abc.TaskGroup) -> None:
+        """Follow the store soon unless another watcher answers before."""
+        if not self.is_replacing_watcher:
+            self.is_replacing_watcher = True
+            bridges.start_soon(self._bridge_with_store)
+
+    async def _bridge_with_store(self) -> None:
+        # Each further watcher may be silent too, while this daemon reaches the store.
+        await anyio.sleep(FEED_BRIDGE_DELAY_S)
+        if not self.is_replacing_watcher:
+            return
+        log_message(message_type="mirror:bridged", kinds=sorted(self.urgent_kinds))
+        for kind in self.urgent_kinds:
+            self.followers[kind].resume()
 
     def _back_off(self, name: str, error: PeerError) -> None:
         """Avoid a watcher, briefly if it refused, else twice as long after each failure."""
@@ -129,6 +158,7 @@
                 data_centre=watcher.data_centre,
             )
         self.watcher = watcher.name
+        self.is_replacing_watcher = False
         self.failures.pop(watcher.name, None)
         failing_kinds = frame.views_changed.failing or []
         for kind, follower in self.followers.items():
@@ -152,9 +182,19 @@
 
 
 class MirrorServer:
-    """Send changes of this daemon's mirrors to the daemons that follow them."""
+    """Send changes of this daemon's mirrors to the daemons that follow them.
+
+    It refuses while a mirror is not up to date; one of `urgent_kinds` counts as such as soon as the
+    answer to its watch is overdue.
+    """
 
-    def __init__(self, followers: Followers, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        followers: Followers,
+        clock: Callable[[], float],
+        urgent_kinds: Collection[str] = (),
+    ) -> None:
+        self.urgent_kinds = urgent_kinds
         self.followers = followers
         self.clock = clock
         self.changed = anyio.Event()
@@ -170,7 +210,11 @@
         positions = call.positions or {}
         with anyio.move_on_after(call.wait_ms / MS_PER_S):
             while not self._changed_kinds(positions):
-                await self.changed.wait()
+                up_to_date_for_s = self._outdated_at() - self.clock()
+                if up_to_date_for_s < 0:
+                    break
+                with anyio.move_on_after(up_to_date_for_s + OUTDATED_CHECK_MARGIN_S):
+                    await self.changed.wait()
         self._check_up_to_date()
         changed = self._changed_kinds(positions)
         views = {kind: self._encode_changes(kind, positions[kind]) for kind in changed}
@@ -185,12 +229,28 @@
             and self.followers[kind].mirror.last_change_position > position
         ]
 
+    def _outdated_at(self) -> float:
+        """Return when one of the mirrors will no longer count as up to date, as it is followed."""
+        return min(self._mirror_outdated_at(kind) for kind in self.followers)
+
+    def _mirror_outdated_at(self, kind: str) -> float:
+        follower = self.followers[kind]
+        if not follower.mirror.loaded:
+            return -math.inf
+        times = [math.inf]
+        if follower.failing_since is not None:
+            times.append(follower.failing_since + FEED_STALE_AFTER_S)
+        if follower.watch_due_at is not None and kind in self.urgent_kinds:
+            times.append(follower.watch_due_at + FEED_OVERDUE_AFTER_S)
+        return min(times)
+
     def _check_up_to_date(self) -> None:
         """Raise PeerError while a mirror of this daemon is not loaded or not up to date."""
-        for follower in self.followers.values():
-            if not follower.mirror.loaded or follower.failing_for_s() > FEED_STALE_AFTER_S:
+        now = self.clock()
+        for kind in self.followers:
+            if self._mirror_outdated_at(kind) < now:
                 raise PeerError(
-                    f"the mirror of {follower.mirror.kind} is not up to date on this daemon",
+                    f"the mirror of {kind} is not up to date on this daemon",
                     step=Step.STORE,
                     outcome=Outcome.NOT_RUN,
                 )
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -52,6 +52,7 @@
         self.missing_upstreams: dict[str, tuple[Upstream, float]] = {}
         self.configuration_listeners: list[Callable[[], None]] = []
         kinds = ports.kinds
+        self.urgent_kinds = (kinds.configuration, kinds.upstreams)
         mirrored_kinds = (
             kinds.configuration,
             kinds.upstreams,
@@ -94,8 +95,8 @@
 
     def _watch_wait_s(self, kind: str) -> float:
         """Return the long-poll time: shorter where a stalled watch must be detected sooner."""
-        if kind in (self.ports.kinds.configuration, self.ports.kinds.upstreams):
-            return WATCH_WAIT_URGENT_S
+        if kind in self.urgent_kinds:
+            return WATCH_WAIT_URGENT_S - self._watch_delay_s(kind)
         return WATCH_WAIT_S if self.role == ROLE_FRONT else WATCH_WAIT_KEEPER_S
 
     def _watch_delay_s(self, kind: str) -> float:
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -1,6 +1,7 @@
 """Exchange pings, mirrors, store calls, batches and usage counts with the other daemons."""
 
 import random
+from collections.abc import Collection
 from uuid import uuid4
 
 import anyio
@@ -50,6 +51,7 @@
         members: Members,
         channel: StoreChannel,
         followers: dict[str, MirrorFollower],
+        urgent_kinds: Collection[str],
         request_counter: StartedRequestCounter,
         seeds: tuple[str, ...],
         task_group: anyio.abc.TaskGroup,
@@ -94,7 +96,7 @@
             "take_trial": self._on_take_trial,
             "stream_begun": self._on_stream_begun,
             "find_stream": self._on_find_stream,
-            "watch_views": MirrorServer(followers, members.clock).on_watch_views,
+            "watch_views": MirrorServer(followers, members.clock, urgent_kinds).on_watch_views,
         }
 
     # Membership and mirrors
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -40,3 +40,9 @@
 FEED_STALE_AFTER_S = 1.0
 """A mirror whose watch has failed for longer than this is not served to other daemons; a lost watch
 is reopened within 0.3 s."""
+FEED_OVERDUE_AFTER_S = 0.3
+"""A mirror of an urgent kind is not served either while its watch is overdue for longer than this;
+a slow store answers within 0.25 s."""
+FEED_BRIDGE_DELAY_S = 0.1
+"""How long a daemon that has lost its watcher waits for the next one before it also follows the
+store itself."""
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -241,6 +241,7 @@
     `watch_delay_s` is the delay before the next watch, so that one call returns several changes;
     `listing_retry_delay_s` is the delay after a failed listing. `confirmed_at` is when the mirror
     was last known to be up to date, before the change that its listeners are being told of.
+    `watch_due_at` is when the store will have answered the open watch, changes or not.
     """
 
     def __init__(
@@ -262,6 +263,7 @@
         self.outage_ended_at: float | None = None
         self.failing_since: float | None = None
         self.confirmed_at: float | None = None
+        self.watch_due_at: float | None = None
         self.needs_listing = True
         self.paused = False
         self._resumed = anyio.Event()
@@ -302,7 +304,13 @@
             self.confirmed_at = started_at
             self.needs_listing = False
             return
-        position, changes = await self.source.watch_kind(mirror.kind, mirror.position, self.wait_s)
+        self.watch_due_at = self.clock() + self.wait_s
+        try:
+            position, changes = await self.source.watch_kind(
+                mirror.kind, mirror.position, self.wait_s
+            )
+        finally:
+            self.watch_due_at = None
         self.confirmed_at = self.clock()  # an open watch returns changes as they happen
         mirror.apply(position, changes)
 
--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -16,6 +16,10 @@
 from acaciarill.fleet_daemon._mirrors import FleetMirrors
 from acaciarill.fleet_daemon.const import (
     CHANGE_BATCHING_S,
+    FEED_BRIDGE_DELAY_S,
+    FEED_OVERDUE_AFTER_S,
+    FEED_POLL_WAIT_S,
+    FEED_TIMEOUT_MARGIN_S,
     MISSING_ENTRY_CHECK_PERIOD_S,
     OUTAGE_ENTRY_GRACE_S,
 )
@@ -25,6 +29,8 @@
 
 DRAIN_LIMIT_S = 2.0
 """Users' limit on requests to an upstream after the store has reported its removal."""
+CHANGE_LIMIT_S = 2.0
+"""Users' limit on the time until a daemon acts on a change that the store has confirmed."""
 CONTACT_LIMIT_S = 3.0
 """Users' limit on the time after a trouble in which a daemon may act on stale state."""
 RESPONSE_DELAY_S = 0.3
@@ -135,6 +141,18 @@
                 with self.subTest(kind=kind, role=mirrors.role):
                     self.assertLess(longest_s(mirrors.followers[kind]), CONTACT_LIMIT_S)
 
+    def test_sum_of_delays_with_a_lost_watcher_or_watch_is_within_the_limit(self) -> None:
+        # CONFIG, DRAIN: delays that were each bounded added up to more than the users' limit, when
+        # a watcher fell silent or its own watch did.
+        silent_watcher_s = FEED_POLL_WAIT_S + FEED_TIMEOUT_MARGIN_S
+        for kind in self.mirrors.urgent_kinds:
+            follower = self.keeper_mirrors.followers[kind]
+            silent_watch_s = follower.watch_delay_s + follower.wait_s + FEED_OVERDUE_AFTER_S
+            for noticed_after_s in (silent_watcher_s, silent_watch_s):
+                with self.subTest(kind=kind, noticed_after_s=noticed_after_s):
+                    longest_s = noticed_after_s + FEED_BRIDGE_DELAY_S + RESPONSE_DELAY_S
+                    self.assertLess(longest_s, CHANGE_LIMIT_S)
+
     def test_open_batch_of_a_route_without_queue_time_is_demand_at_any_age(self) -> None:
         route = Route("r", "h", "/b", RouteKind.BATCH, (("llm", 1.0),), 10.0, 5.0, 2, 0)
         self.mirrors.configuration = Configuration(
