Exchange requests with upstreams through other daemons while a daemon's own links are lost

Texts of their batches waited for engines that only their owner could not reach; the holder of the duties ordered weight loads into the void; upstreams that were sound for all others were ejected, and requests in flight when connections were reset and then refused counted as having crashed them.

Cause: a daemon tried nothing but its own links, and took what it saw there for the upstreams' state.

What it does: a failed connection attempt, or 0.3 s without a byte while requests are open, makes a daemon connect to up to three other upstreams, as unlike as possible, until one answers. If none does, it is cut off: it sends what it would have sent itself through a daemon that is not, best one without clients, and tries one upstream each 0.5 s until one answers. The relay sends each request once and decides nothing, but refuses strangers and upstreams that have left; it ends what it relays for a daemon that has been silent for 2 s, before anyone may take over that daemon's batches. "Not run" is said only if no relay can have sent a byte. Orders are never relayed, since orders from two machines are orders of two holders: a holder that is cut off releases its lease, and acquires none until its links have been back for 6 s. A daemon that is cut off owns no new batches. What fails while it is cut off is not held against upstreams.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -319,14 +319,20 @@
         )
         # This request only serves to find another engine for the stream, so its rank has no effect.
         slot_request = self._slot_request(item, True, route, text, state.upstream.id)
-        stream = ActiveStream(slot_request, state, ports.clock())
+        stream = ActiveStream(
+            slot_request,
+            state,
+            ports.clock(),
+            is_upstream_fault=lambda: ports.sender.is_upstream_fault(attempt),
+        )
         ports.scheduler.active_streams.append(stream)
         try:
             with stream.scope:
                 return await self._stream_attempt(item, route, text, stream, attempt)
             return 0, stream.stop_reason
         except UpstreamError as error:
-            if error.code != WRONG_RESPONSE:  # the engine works, only this connection is spoilt
+            # After a wrong response the engine works, only this connection is spoilt.
+            if error.code != WRONG_RESPONSE and ports.sender.is_upstream_fault(attempt, error):
                 state.record_failure(ports.clock())
                 ports.sender.pool.close_idle_connections(state.upstream.address)
             return 0, error.message
--- a/acaciarill/batches/_scheduler.py
+++ b/acaciarill/batches/_scheduler.py
@@ -63,7 +63,10 @@
 
 @dataclass(slots=True)
 class ActiveStream:
-    """Track one response stream; `stop_reason` says why its item must resume elsewhere."""
+    """Track one response stream; `stop_reason` says why its item must resume elsewhere.
+
+    `is_upstream_fault` returns whether its engine is to blame if no events arrive.
+    """
 
     slot_request: SlotRequest
     state: UpstreamState
@@ -74,6 +77,7 @@
     sample_started_at: float = 0.0
     sampled_events: int = 0
     paused: bool = False
+    is_upstream_fault: Callable[[], bool] = lambda: True
 
     def record_event(self, now: float) -> None:
         """Record an event and, after every few, update the engine's mean event interval.
@@ -206,7 +210,7 @@
             stream.stop_reason = self._find_stop_reason(stream, claimed_slots, now)
             if not stream.stop_reason:
                 continue
-            if stream.stop_reason != STOP_SLOW:
+            if stream.stop_reason != STOP_SLOW and stream.is_upstream_fault():
                 stream.state.record_failure(now)
             stream.scope.cancel()
 
--- a/acaciarill/duties.py
+++ b/acaciarill/duties.py
@@ -41,7 +41,8 @@
 class DutyManager:
     """Compete for the leases of the duties for which this daemon is a candidate.
 
-    `ttl_s` is the duration of a lease and `renew_s` the period of its renewal, in seconds.
+    `ttl_s` is the duration of a lease and `renew_s` the period of its renewal, in seconds. A lease
+    is released once `may_hold` is false, and acquired only while `may_acquire` is true.
     """
 
     def __init__(
@@ -52,7 +53,11 @@
         incarnation: str,
         ttl_s: float = LEASE_TTL_S,
         renew_s: float = LEASE_RENEW_PERIOD_S,
+        may_hold: Callable[[], bool] = lambda: True,
+        may_acquire: Callable[[], bool] = lambda: True,
     ) -> None:
+        self.may_hold = may_hold
+        self.may_acquire = may_acquire
         self.ttl_s = ttl_s
         self.renew_s = renew_s
         self.membership = membership
@@ -79,7 +84,8 @@
         def is_candidate() -> bool:
             daemons = self.membership.daemons(data_centre)
             order = self.membership.busy_roles_last(rendezvous_order("duty/" + name, daemons))
-            return not self.draining and self.membership.name in order[:CANDIDATES_PER_DUTY]
+            is_among_first = self.membership.name in order[:CANDIDATES_PER_DUTY]
+            return not self.draining and is_among_first and self.may_acquire()
 
         holder = LeaseHolder(
             name,
@@ -118,6 +124,10 @@
         return sorted(duty.name for duty in self.duties.values() if duty.holder.is_held())
 
     async def _renew_or_acquire(self, duty: Duty) -> None:
+        if duty.holder.is_held() and not self.may_hold():
+            log_message(message_type="duty:released", duty=duty.name, reason="cannot do its work")
+            await _release(duty)
+            return
         try:
             await duty.holder.renew_or_acquire()
         except AcaciarillError:
--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -4,19 +4,23 @@
 from ._client import (
     CONNECTION_LOST,
     CONNECTION_REFUSED,
+    BodyReader,
     Exchange,
     HttpPool,
     HttpResponse,
+    ResponseBuffers,
     ResponseHead,
 )
 from ._server import EdgeLimits, EdgeServer, Request, Responder
 
 __all__ = [
+    "BodyReader",
     "CONNECTION_LOST",
     "CONNECTION_REFUSED",
     "EdgeLimits",
     "EdgeServer",
     "Exchange",
+    "ResponseBuffers",
     "ResponseHead",
     "HttpPool",
     "HttpResponse",
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -3,7 +3,7 @@
 import select
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
@@ -27,6 +27,8 @@
 )
 
 Headers = Sequence[tuple[bytes, bytes]]
+OpenStream = Callable[[str, float], Awaitable[anyio.abc.SocketStream]]
+"""Connect to an address within some seconds; raise OSError, TimeoutError or ValueError."""
 BeforeSend = Callable[[], None]
 """Raise an error right before the first byte is sent if the request must not be sent."""
 
@@ -100,24 +102,65 @@
         return self.total_bytes > MAX_BUFFERED_BYTES
 
 
-class Exchange:
+class BodyReader:
+    """Read a response body whole, within the limits of its size."""
+
+    def __init__(self, buffers: ResponseBuffers) -> None:
+        self.buffers = buffers
+        self.response_complete = False
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in chunks as they arrive; raise UpstreamError if it is incomplete."""
+        raise NotImplementedError
+
+    def build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
+        """Return an error with what is known of the outcome."""
+        raise NotImplementedError
+
+    async def read_body(self) -> bytes:
+        """Return the complete body; raise UpstreamError if it is incomplete or too long."""
+        body = bytearray()
+        try:
+            async for chunk in self.chunks():
+                body += chunk
+                self.buffers.total_bytes += len(chunk)
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise self.build_error(
+                        f"response body is longer than {MAX_RESPONSE_BYTES} bytes", Step.RECEIVE
+                    )
+                if len(body) > UNRESTRICTED_RESPONSE_BYTES and self.buffers.is_full():
+                    raise self.build_error(
+                        f"all response bodies are longer than {MAX_BUFFERED_BYTES} bytes",
+                        Step.RECEIVE,
+                    )
+        finally:
+            self.buffers.total_bytes -= len(body)
+        return bytes(body)
+
+
+class Exchange(BodyReader):
     """Run one request on one connection of a pool.
 
     An error's outcome is NOT_RUN only if no byte of the request can have been sent. `is_first` says
-    that the connection has carried no request before.
+    that the connection has carried no request before. `on_receive` is called when bytes arrive.
     """
 
     def __init__(
-        self, connection: _Connection, buffers: ResponseBuffers, is_first: bool = True
+        self,
+        connection: _Connection,
+        buffers: ResponseBuffers,
+        is_first: bool = True,
+        on_receive: Callable[[], None] | None = None,
     ) -> None:
+        super().__init__(buffers)
         self.connection = connection
-        self.buffers = buffers
         self.is_first = is_first
+        self.on_receive = on_receive
         self.send_started = False
+        self.is_aborted = False
         self.head: ResponseHead | None = None
-        self.response_complete = False
 
-    def _build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
+    def build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
         outcome = Outcome.UNKNOWN if self.send_started else Outcome.NOT_RUN
         return UpstreamError(
             message, step=step, peer=self.connection.address, outcome=outcome, code=code
@@ -129,7 +172,7 @@
         try:
             await self.connection.stream.send(request)
         except _CONNECTION_ERRORS as error:
-            raise self._build_error(
+            raise self.build_error(
                 "connection was lost while the request was being sent", Step.SEND, CONNECTION_LOST
             ) from error
 
@@ -141,8 +184,9 @@
                 event = protocol.next_event()
             except h11.RemoteProtocolError as error:
                 if closed:
-                    raise self._build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST) from error
-                raise self._build_error("response is malformed", Step.RECEIVE) from error
+                    code = None if self.is_aborted else CONNECTION_LOST
+                    raise self.build_error(CLOSED_EARLY, Step.RECEIVE, code) from error
+                raise self.build_error("response is malformed", Step.RECEIVE) from error
             if event is not h11.NEED_DATA:
                 return event
             try:
@@ -150,14 +194,21 @@
             except anyio.EndOfStream:
                 data = b""
             except _CONNECTION_ERRORS as error:
-                raise self._build_error(
+                raise self.build_error(
                     "connection was lost before the response was complete",
                     Step.RECEIVE,
-                    CONNECTION_LOST,
+                    None if self.is_aborted else CONNECTION_LOST,
                 ) from error
             closed = not data
+            if data and self.on_receive is not None:
+                self.on_receive()
             protocol.receive_data(data)
 
+    def abort(self) -> None:
+        """End the connection, so that whoever reads the response gets an error."""
+        self.is_aborted = True
+        _abort_connection(self.connection)
+
     async def read_head(self) -> ResponseHead:
         """Return the head of the response, after any informational ones; raise UpstreamError."""
         for _ in range(MAX_INTERIM_HEADS + 1):
@@ -167,8 +218,8 @@
                 return self.head
             if isinstance(event, h11.InformationalResponse):
                 continue
-            raise self._build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST)
-        raise self._build_error(
+            raise self.build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST)
+        raise self.build_error(
             f"response has over {MAX_INTERIM_HEADS} informational heads", Step.RECEIVE
         )
 
@@ -182,27 +233,7 @@
                 self.response_complete = True
                 return
             else:
-                raise self._build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST)
-
-    async def read_body(self) -> bytes:
-        """Return the complete body; raise UpstreamError if it is incomplete or too long."""
-        body = bytearray()
-        try:
-            async for chunk in self.chunks():
-                body += chunk
-                self.buffers.total_bytes += len(chunk)
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise self._build_error(
-                        f"response body is longer than {MAX_RESPONSE_BYTES} bytes", Step.RECEIVE
-                    )
-                if len(body) > UNRESTRICTED_RESPONSE_BYTES and self.buffers.is_full():
-                    raise self._build_error(
-                        f"all response bodies are longer than {MAX_BUFFERED_BYTES} bytes",
-                        Step.RECEIVE,
-                    )
-        finally:
-            self.buffers.total_bytes -= len(body)
-        return bytes(body)
+                raise self.build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST)
 
 
 class HttpPool:
@@ -211,8 +242,9 @@
     An upstream's lifetime changes when it restarts, so no connection to its old process is reused.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], open_stream: OpenStream | None = None) -> None:
         self.clock = clock
+        self.open_stream = open_stream or _open_stream
         self.idle_connections: dict[tuple[str, str], list[_Connection]] = {}
         self.opened_count = 0
         self.buffers = ResponseBuffers()
@@ -230,6 +262,7 @@
         request_id: str = "",
         new_connection: bool = False,
         before_send: BeforeSend | None = None,
+        on_receive: Callable[[], None] | None = None,
     ) -> AsyncIterator[Exchange]:
         """Send one request and yield the exchange to read the response from; raise UpstreamError.
 
@@ -244,7 +277,7 @@
         if connection is None:
             connection = await self._connect(address)
         connection.recent_request_ids.append(request_id)
-        exchange = Exchange(connection, self.buffers, is_first)
+        exchange = Exchange(connection, self.buffers, is_first, on_receive)
         returned_to_pool = False
         try:
             data = self._encode(connection, method, target, headers, body)
@@ -288,12 +321,21 @@
     async def is_refused(self, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
         """Return whether no process listens at an address; False if that is not known in time."""
         try:
-            stream = await _open_stream(address, timeout_s)
+            stream = await self.open_stream(address, timeout_s)
         except _CONNECT_ERRORS as error:
             return _is_refusal(error)
         await anyio.aclose_forcefully(stream)
         return False
 
+    async def can_connect(self, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
+        """Return whether a connection to an address can be opened in time."""
+        try:
+            stream = await self.open_stream(address, timeout_s)
+        except _CONNECT_ERRORS:
+            return False
+        await anyio.aclose_forcefully(stream)
+        return True
+
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to an address that may no longer respond."""
         for key in [key for key in self.idle_connections if key[0] == address]:
@@ -327,7 +369,7 @@
 
     async def _connect(self, address: str) -> _Connection:
         try:
-            stream = await _open_stream(address, CONNECT_TIMEOUT_S)
+            stream = await self.open_stream(address, CONNECT_TIMEOUT_S)
         except _CONNECT_ERRORS as error:
             refused = _is_refusal(error)
             raise UpstreamError(
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -1,6 +1,14 @@
 """Route and forward requests to a shared fleet of upstreams, and reach the object store."""
 
-from ._attempts import WRONG_RESPONSE, Attempt, AttemptSender, UpstreamCodec
+from ._attempts import (
+    RELAY_CUT_OFF,
+    WRONG_RESPONSE,
+    Attempt,
+    AttemptSender,
+    EncodedRequest,
+    UpstreamCodec,
+    belongs_to_request,
+)
 from ._crash_detection import CrashDetector
 from ._crash_records import CrashRecord
 from ._forward import ForwardedRequest, Forwarder
@@ -34,6 +42,7 @@
     "ForwardedRequest",
     "Configuration",
     "CrashDetector",
+    "EncodedRequest",
     "CrashRecord",
     "Engine",
     "Forwarder",
@@ -42,6 +51,7 @@
     "Member",
     "Members",
     "Permit",
+    "RELAY_CUT_OFF",
     "REQUEST_QUARANTINED",
     "Quarantine",
     "RateLimit",
@@ -60,6 +70,7 @@
     "UpstreamState",
     "UpstreamTable",
     "WRONG_RESPONSE",
+    "belongs_to_request",
     "group_routes_by_host",
     "is_event_stream",
 ]
--- a/acaciarill/fleet/_forward.py
+++ b/acaciarill/fleet/_forward.py
@@ -160,8 +160,8 @@
         self, request: ForwardedRequest, state: UpstreamState, error: UpstreamError
     ) -> None:
         """Record a failed attempt if the upstream may have crashed when it ran the request."""
-        if self.crash_detector is None or request.background:
-            return
+        if self.crash_detector is None or request.background or error.step is Step.FORWARD:
+            return  # the upstream may be well: a daemon that passed the request on failed
         if error.code == CONNECTION_LOST:
             await self.crash_detector.record_lost_connection(state, request.key)
         elif error.code == ATTEMPT_TIMED_OUT and error.outcome is not Outcome.NOT_RUN:
@@ -215,7 +215,12 @@
     ) -> HttpResponse:
         started_at = self.clock()
         attempt = Attempt(
-            state.upstream, request.id, remaining_s, request.customer, on_sent=on_sent
+            state.upstream,
+            request.id,
+            remaining_s,
+            request.customer,
+            on_sent=on_sent,
+            may_break=request.route.repeatable,
         )
         rejected = False
         state.in_flight += 1
@@ -240,7 +245,7 @@
             rejected = error.code == UPSTREAM_FULL
             if rejected:
                 state.record_overload(self.clock())
-            elif error.code != UPSTREAM_LEFT:
+            elif error.code != UPSTREAM_LEFT and self.sender.is_upstream_fault(attempt, error):
                 state.record_failure(self.clock())
                 self.sender.pool.close_idle_connections(state.upstream.address)
             raise
--- a/acaciarill/fleet/_members.py
+++ b/acaciarill/fleet/_members.py
@@ -13,7 +13,10 @@
 
 @dataclass(slots=True)
 class Member:
-    """Hold the last known state of one daemon; times are on this daemon's clock."""
+    """Hold the last known state of one daemon; times are on this daemon's clock.
+
+    `is_cut_off` says that it has lost its links to the upstreams.
+    """
 
     name: str
     address: str
@@ -24,6 +27,7 @@
     asked_at: float = 0.0
     unreachable_since: float | None = None
     draining: bool = False
+    is_cut_off: bool = False
     store_reached_at: float = -STORE_CONTACT_TTL_S
 
 
@@ -63,6 +67,7 @@
         role: str,
         store_reached: bool,
         draining: bool = False,
+        is_cut_off: bool = False,
     ) -> None:
         """Record what a daemon reported of itself in a ping or in the reply to one."""
         if name == self.name:
@@ -75,7 +80,7 @@
         if member.unreachable_since is not None:
             log_message(message_type="peer:recovered", peer=name)
         member.address, member.last_contact_at, member.unreachable_since = address, now, None
-        member.draining = draining
+        member.draining, member.is_cut_off = draining, is_cut_off
         if store_reached:
             member.store_reached_at = now
 
@@ -138,7 +143,8 @@
     def choose_owner(self, key: str, excluded: str = "") -> str:
         """Return a reachable daemon of this role that is not draining as owner, or else this one.
 
-        All daemons with the same state choose the same owner for a key.
+        One that has lost its links to the upstreams is chosen only if all others have too. All
+        daemons with the same state choose the same owner for a key.
         """
         live = [
             name
@@ -147,7 +153,8 @@
             and not self.by_name[name].draining
             and self.by_name[name].unreachable_since is None
         ]
-        return rendezvous_order(key, live)[0] if live else self.name
+        linked = [name for name in live if not self.by_name[name].is_cut_off]
+        return rendezvous_order(key, linked or live)[0] if live else self.name
 
     def live_order(self, key: str) -> list[str]:
         """Return the reachable daemons that are not draining, in the key's rendezvous order."""
@@ -179,5 +186,22 @@
         ]
 
     def busy_roles_last(self, order: list[str]) -> list[str]:
-        """Return the names in the given order, with the daemons that serve clients moved last."""
-        return sorted(order, key=lambda name: self.by_name[name].role == ROLE_FRONT)
+        """Return the names in the given order, with the daemons that serve clients moved last.
+
+        Those that have lost their links to the upstreams come after all others.
+        """
+        return sorted(
+            order,
+            key=lambda name: (
+                self.by_name[name].is_cut_off,
+                self.by_name[name].role == ROLE_FRONT,
+            ),
+        )
+
+    def has_linked_peer(self) -> bool:
+        """Return whether another live daemon has its links to the upstreams."""
+        return any(
+            not member.is_cut_off and not member.draining and not self.is_dead(member.name)
+            for member in self.by_name.values()
+            if member is not self.own
+        )
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -5,7 +5,7 @@
 import anyio
 from eliot import log_message
 
-from ..edge import Exchange, ResponseHead, check_event_size
+from ..edge import BodyReader, ResponseHead, check_event_size
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
@@ -79,9 +79,18 @@
                 break
             request.attempted_upstreams.append(state.upstream.id)
             progress = _Progress(last_event_id, head)
+            attempt = Attempt(
+                state.upstream,
+                request.id,
+                remaining_s,
+                request.customer,
+                resume_after=last_event_id,
+                on_sent=on_sent,
+                may_break=request.route.resumable,
+            )
             try:
                 with anyio.fail_after(remaining_s):
-                    await self._attempt(request, state, remaining_s, progress, on_sent, start, send)
+                    await self._attempt(request, state, attempt, progress, start, send)
                 self.forwarder.record_completed(request)
                 return progress.head or ResponseHead(STATUS_OK, [])
             except (UpstreamError, TimeoutError) as error:
@@ -100,7 +109,8 @@
                     reason=str(error) or "deadline exceeded",
                     last_event=progress.last_event_id,
                 )
-                if not not_run:
+                failure = error if isinstance(error, UpstreamError) else None
+                if not not_run and self.forwarder.sender.is_upstream_fault(attempt, failure):
                     state.record_failure(self.forwarder.clock())
                 if isinstance(error, UpstreamError):
                     await self.forwarder.record_failure(request, state, error)
@@ -156,21 +166,12 @@
         self,
         request: ForwardedRequest,
         state: UpstreamState,
-        remaining_s: float,
+        attempt: Attempt,
         progress: "_Progress",
-        on_sent: Callable[[], None] | None,
         start: StartResponse,
         send: SendChunk,
     ) -> None:
         forwarder = self.forwarder
-        attempt = Attempt(
-            state.upstream,
-            request.id,
-            remaining_s,
-            request.customer,
-            resume_after=progress.last_event_id,
-            on_sent=on_sent,
-        )
         sent_at = forwarder.clock()
         state.in_flight += 1
         try:
@@ -213,7 +214,7 @@
         self,
         request: ForwardedRequest,
         state: UpstreamState,
-        exchange: Exchange,
+        exchange: BodyReader,
         progress: "_Progress",
         send: SendChunk,
     ) -> None:
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -43,6 +43,8 @@
 )
 from ..leases import Lease
 from ..mirrors import Record
+from ..relays import RelayClient, RelayServer, UpstreamLinks
+from ..relays.const import RELAY_PING_PERIOD_S
 from ..timer import TimerService
 from ._feed import MirrorFeed
 from ._metrics import Metrics
@@ -97,6 +99,7 @@
         )
         self.metrics.watch_mirrors(self.mirrors.followers)
         self._build_peers()
+        self._build_relaying()
         self._build_serving()
         self._build_duties()
 
@@ -135,6 +138,42 @@
                 lambda: self.task_group.start_soon(self.peers.ping_all)
             )
 
+    def _build_relaying(self) -> None:
+        self.links = UpstreamLinks(
+            self.table,
+            self.pool.can_connect,
+            self.clock,
+            self.task_group.start_soon,
+            self._announce_links,
+        )
+        self.relay_client = RelayClient(
+            self.members,
+            self.peers.greeting,
+            self.clock,
+            self.peers.start_ping,
+            self.pool.buffers,
+            self.metrics.count_relayed,
+        )
+        self.relay_server = RelayServer(
+            self.members,
+            self.table,
+            self.links,
+            self.pool,
+            self.ports.codec,
+            self.clock,
+            self.metrics.count_relayed,
+        )
+        self.peers.server.push_handlers["relay"] = self.relay_server.on_relay
+
+    def _announce_links(self) -> None:
+        """Tell all daemons whether this one has lost its links to the upstreams."""
+        self.members.own.is_cut_off = self.links.is_cut_off
+        if self.links.is_cut_off:
+            for state in self.table.states.values():
+                self.pool.close_idle_connections(state.upstream.address)
+        self.metrics.cut_off.set(self.links.is_cut_off)
+        self.task_group.start_soon(self.peers.ping_all)
+
     def _build_serving(self) -> None:
         permits = RatePermits(
             self.members,
@@ -153,7 +192,13 @@
             self.metrics.count_quarantine_decision,
         )
         self.peers.quarantine = self.quarantine
-        crash_detector = CrashDetector(self.pool.is_refused, self.clock, self._record_crash)
+        crash_detector = CrashDetector(
+            lambda address, timeout_s: self.links.is_refused(
+                self.pool.is_refused, address, timeout_s
+            ),
+            self.clock,
+            self._record_crash,
+        )
         self.table.subscribe(crash_detector.check_registrations)
         sender = AttemptSender(
             self.pool,
@@ -163,6 +208,8 @@
             permits.acquire,
             permits.report_lifted,
             crash_detector.record_refused,
+            self.links,
+            self.relay_client,
         )
         self.forwarder = Forwarder(
             sender,
@@ -236,6 +283,8 @@
             self.settings.host,
             DUTY_LEASE_TTL_S,
             DUTY_LEASE_RENEW_PERIOD_S,
+            lambda: not self.links.is_cut_off or not self.members.has_linked_peer(),
+            lambda: self.links.may_acquire_duties() or not self.members.has_linked_peer(),
         )
         calls = self.ports.duty_calls(self)
         self.usage = UsageDuty(
@@ -325,7 +374,8 @@
         subscribe(PING_PERIOD_S, self.peers.ping_peers)
         subscribe(POOL_SWEEP_PERIOD_S, self._close_expired_connections)
         subscribe(MISSING_ENTRY_CHECK_PERIOD_S, self._expire_missing_upstreams)
-        subscribe(DRAIN_POLL_S, self._run_scheduler)
+        subscribe(DRAIN_POLL_S, self._check_progress)
+        subscribe(RELAY_PING_PERIOD_S, self.relay_client.ping_relays)
         if self.edge_server is not None:
             await self.task_group.start(self.edge_server.run)
             subscribe(CLAIM_PERIOD_S, self.batch_manager.claim_and_expire)
@@ -347,12 +397,14 @@
             store_calls_relayed=self.channel.relayed_calls,
         )
 
-    async def _run_scheduler(self) -> None:
+    async def _check_progress(self) -> None:
+        self.links.check_silence()
         self.scheduler.assign_slots()
         self.scheduler.stop_lagging_streams()
 
     async def _close_expired_connections(self) -> None:
         self.pool.close_expired_connections()
+        await self.relay_client.close_expired_connections()
 
     async def _expire_missing_upstreams(self) -> None:
         self.mirrors.expire_missing_upstreams()
@@ -391,6 +443,7 @@
             },
             "views_from": self.feed.watcher if self.feed is not None else None,
             "store_reached": self.channel.is_reachable,
+            "links_lost": self.links.is_cut_off,
             "store_calls": self.channel.direct_calls,
             "store_calls_relayed": self.channel.relayed_calls,
             "daemons": sorted(self.members.daemons()),
@@ -423,15 +476,21 @@
         """Fail readiness, release duties and batches, then finish the requests that still run."""
         log_message(message_type="daemon:draining", host=self.settings.host)
         started = self.clock()
-        self.draining = self.members.own.draining = True
+        self.draining = self.members.own.draining = self.relay_server.draining = True
         await self.peers.ping_all()
         await self.duties.release_all()
         await self.batch_manager.hand_over()
+        deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
         if self.edge_server is None:
+            await self._finish_relaying(deadline)
             return
         await anyio.sleep(DRAIN_NOTICE_S)
         self.edge_server.drain()
-        deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
         while self.edge_server.active_requests and self.clock() < deadline:  # noqa: ASYNC110
             await anyio.sleep(DRAIN_POLL_S)
+        await self._finish_relaying(deadline)
         self.edge_server.stop_accepting()
+
+    async def _finish_relaying(self, deadline: float) -> None:
+        while self.relay_server.active_exchanges and self.clock() < deadline:  # noqa: ASYNC110
+            await anyio.sleep(DRAIN_POLL_S)
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -86,6 +86,22 @@
             registry=self.registry,
         )
 
+        self.relayed = Counter(
+            "acaciarill_relayed_exchanges",
+            "Exchanges with upstreams through another daemon, or for one, by what became of them",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.cut_off = Gauge(
+            "acaciarill_links_lost",
+            "1 while this daemon has lost its own links to the upstreams",
+            registry=self.registry,
+        )
+
+    def count_relayed(self, outcome: str) -> None:
+        """Count one exchange through another daemon, or for one."""
+        self.relayed.labels(outcome).inc()
+
     def count_unreadable(self, kind: str) -> None:
         """Count one version of a stored object that could not be decoded."""
         self.unreadable.labels(kind).inc()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -72,7 +72,7 @@
         self.fetching_crashes_from: set[str] = set()
         self.fetching_kinds: set[str] = set()
         own = members.own
-        greeting = messages.Greeting(
+        self.greeting = greeting = messages.Greeting(
             protocol_version=PROTOCOL_VERSION,
             daemon=own.name,
             incarnation=self.incarnation,
@@ -112,6 +112,7 @@
             store_reached=self.channel.is_reachable,
             draining=own.draining,
             crash_digest=self.quarantine.digest if self.quarantine is not None else 0,
+            is_cut_off=own.is_cut_off,
         )
 
     def _process_ping(self, ping: messages.Ping) -> None:
@@ -122,6 +123,7 @@
             ping.role,
             bool(ping.store_reached),
             bool(ping.draining),
+            bool(ping.is_cut_off),
         )
         for kind, newest in (ping.newest or {}).items():
             follower = self.followers.get(kind)
--- a/acaciarill/peers/__init__.py
+++ b/acaciarill/peers/__init__.py
@@ -1,7 +1,7 @@
 """Exchange messages between daemons and order the daemons by rendezvous hashing."""
 
 from ._codec import decode, encode
-from ._framing import CONNECTION_ERRORS
+from ._framing import CONNECTION_ERRORS, FrameStream
 from ._links import PeerLinks
 from ._messages import messages
 from ._server import PeerServer
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CONNECTION_ERRORS",
+    "FrameStream",
     "PeerLinks",
     "PeerServer",
     "decode",
--- a/acaciarill/peers/_server.py
+++ b/acaciarill/peers/_server.py
@@ -19,6 +19,8 @@
 """Handle a request and return the member of the response frame by its name."""
 StreamHandler = Callable[[Any], AsyncIterator[dict[str, Any]]]
 """Handle a request and yield the member of each response frame by its name."""
+PushHandler = Callable[[Any, Callable[..., Awaitable[None]]], Awaitable[None]]
+"""Handle a request and send each response frame with the function that is given, by its member."""
 
 _FRAME_MEMBERS = [spec[1] for spec in messages.Frame.thrift_spec.values()]
 
@@ -34,6 +36,7 @@
         self.tls = tls
         self.handlers: dict[str, CallHandler] = {}
         self.stream_handlers: dict[str, StreamHandler] = {}
+        self.push_handlers: dict[str, PushHandler] = {}
         self.connections: dict[int, FrameStream] = {}
         self.active_streams = 0
         self.draining = False
@@ -112,6 +115,12 @@
         try:
             if member in self.stream_handlers:
                 await self._handle_stream(frame_stream, frame, member)
+            elif member in self.push_handlers:
+
+                async def send(**response: Any) -> None:
+                    await frame_stream.send(messages.Frame(call_id=frame.call_id, **response))
+
+                await self.push_handlers[member](getattr(frame, member), send)
             elif member in self.handlers:
                 response = await self.handlers[member](getattr(frame, member))
                 await frame_stream.send(messages.Frame(call_id=frame.call_id, **response))
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -204,6 +204,7 @@
 
 // Checks whether a daemon is alive and sends the sender's own state. `newest` is the version of the
 // latest change in each of its mirrors, by kind; `crash_digest` is the checksum of its crash records.
+// `is_cut_off` says that the sender has lost its own links to the upstreams.
 struct Ping {
   1: string daemon,
   2: string address,
@@ -213,6 +214,7 @@
   6: bool store_reached,
   7: bool draining,
   8: i64 crash_digest,
+  9: bool is_cut_off,
 }
 
 // Requests a mirror, which the protocol calls a view.
@@ -371,6 +373,21 @@
   1: optional string software_version,
 }
 
+// Asks the receiver to send a request to an upstream, once, for a daemon that has lost its own links.
+// `lifetime` differs after each restart of the upstream. The response is a stream: ForwardHead, any
+// number of ForwardChunk, and ForwardEnd. A connection carries one such call at a time; closing it
+// ends the call.
+struct Relay {
+  1: string daemon,
+  2: string upstream,
+  3: string lifetime,
+  4: string request_id,
+  5: string method,
+  6: string target,
+  7: list<Header> headers,
+  8: binary body,
+}
+
 // Confirms a call whose response has no contents.
 struct Done {
 }
@@ -429,6 +446,7 @@
   42: optional StreamBegun stream_begun,
   43: optional FindStream find_stream,
   44: optional FoundStream found_stream,
+  45: optional Relay relay,
 }
 
 // The progress of a consumer of a step. A trainer sends it with each pull, as an opaque string.
--- /dev/null
+++ b/acaciarill/relays/__init__.py
@@ -0,0 +1,17 @@
+"""Exchange requests with upstreams through other daemons while this one has lost its own links."""
+
+from ._client import RelayClient
+from ._decisions import LinkState, RelayCandidate, choose_probes, is_cut_off, order_relays
+from ._links import UpstreamLinks
+from ._server import RelayServer
+
+__all__ = [
+    "LinkState",
+    "RelayCandidate",
+    "RelayClient",
+    "RelayServer",
+    "UpstreamLinks",
+    "choose_probes",
+    "is_cut_off",
+    "order_relays",
+]
--- /dev/null
+++ b/tests/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Test relays."""
