Answer every request that a stopping daemon has read before it ends

Cause: the wait for running requests had an end, but no answer at it, and what was read during the wait had the whole time of its route.

A response that has begun is still aborted, visibly.

--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -19,12 +19,16 @@
     DEFAULT_IDLE_TIMEOUT_S,
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
+    END_POLL_S,
+    END_TIMEOUT_S,
     READ_CHUNK_BYTES,
 )
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
+END_BODY = b'{"code":"stopping"}'
+
 _CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -135,6 +139,7 @@
         self.clock = clock
         self.limits = limits
         self.draining = False
+        self.ending = False
         self.active_requests = 0
         self.connections: set[_ServerConnection] = set()
         self._listener_scope = anyio.CancelScope()
@@ -160,6 +165,19 @@
             if connection.idle_scope is not None:
                 connection.idle_scope.cancel()
 
+    async def end_requests(self) -> None:
+        """Answer the requests that still run with 504, as their outcome is unknown.
+
+        The connection of one whose response has begun is aborted.
+        """
+        self.ending = True
+        for connection in list(self.connections):
+            if connection.handler_scope is not None:
+                connection.handler_scope.cancel()
+        with anyio.move_on_after(END_TIMEOUT_S):
+            while self.active_requests:  # noqa: ASYNC110
+                await anyio.sleep(END_POLL_S)
+
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         connection = _ServerConnection(self, stream)
         self.connections.add(connection)
@@ -186,6 +204,7 @@
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes + READ_CHUNK_BYTES
         )
         self.idle_scope: anyio.CancelScope | None = None
+        self.handler_scope: anyio.CancelScope | None = None
         self.must_abort = False
 
     def must_close(self) -> bool:
@@ -239,9 +258,14 @@
 
     async def _run_handler(self, request: Request, responder: Responder) -> None:
         async with anyio.create_task_group() as tasks:
+            self.handler_scope = tasks.cancel_scope
             tasks.start_soon(self._cancel_on_disconnect, tasks.cancel_scope)
             await self.server.handler(request, responder)
             tasks.cancel_scope.cancel()
+        self.handler_scope = None
+        if self.server.ending and not responder.started and not self.must_abort:
+            log_message(message_type="edge:request_ended", target=request.target)
+            await responder.send_response(504, [], END_BODY)
         if not responder.finished:
             self.must_abort = True  # a client must not take a truncated response for a complete one
 
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -33,6 +33,10 @@
 CLOSE_LINGER_S = 0.5
 """Time to read the rest of a rejected request, since a TCP reset would discard the response."""
 
+END_TIMEOUT_S = 0.2
+"""Time to send the last answers when the process stops."""
+END_POLL_S = 0.01
+
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_S = 3.0
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -1,5 +1,6 @@
 """Assemble and run a daemon that serves a shared fleet."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -83,6 +84,7 @@
         self.store = ports.store(self.channel)
         self.ready = False
         self.draining = False
+        self.drain_deadline = math.inf
         self.members = Members(
             settings.host, settings.peers, settings.data_centre, settings.role, self.clock
         )
@@ -477,10 +479,11 @@
         log_message(message_type="daemon:draining", host=self.settings.host)
         started = self.clock()
         self.draining = self.members.own.draining = self.relay_server.draining = True
+        self.drain_deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
         await self.peers.ping_all()
         await self.duties.release_all()
         await self.batch_manager.hand_over()
-        deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
+        deadline = self.drain_deadline
         if self.edge_server is None:
             await self._finish_relaying(deadline)
             return
@@ -488,6 +491,7 @@
         self.edge_server.drain()
         while self.edge_server.active_requests and self.clock() < deadline:  # noqa: ASYNC110
             await anyio.sleep(DRAIN_POLL_S)
+        await self.edge_server.end_requests()
         await self._finish_relaying(deadline)
         self.edge_server.stop_accepting()
 
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -51,6 +51,7 @@
             daemon.batch_manager,
             daemon.clock,
             daemon.metrics.observe_request,
+            lambda: daemon.drain_deadline,
         ).serve
 
     def duty_client(daemon: FleetDaemon) -> DutyClient:
--- a/acaciarill/platform/_request_handler.py
+++ b/acaciarill/platform/_request_handler.py
@@ -1,5 +1,6 @@
 """Handle client requests: authenticate, route and forward them, and serve the batch API."""
 
+import math
 from collections.abc import Callable
 from urllib.parse import parse_qs, unquote
 
@@ -64,7 +65,9 @@
         batch_manager: BatchManager,
         clock: Callable[[], float],
         observe_request: Callable[[str, int, float], None],
+        drain_deadline: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self.drain_deadline = drain_deadline
         self.configuration = configuration
         self.forwarder = forwarder
         self.stream_forwarder = StreamForwarder(
@@ -93,6 +96,7 @@
             else:
                 route = self._find_route(configuration, request, path)
                 customer = self._authenticate(configuration, request, route)
+                self._check_drain(request, route)
                 if route.kind is RouteKind.BATCH:
                     kind = "submission"
                     await self.batch_manager.acceptance.accept(
@@ -122,6 +126,15 @@
             raise NoRouteError("no route matches this host and path", step=Step.ROUTE)
         return route
 
+    def _check_drain(self, request: Request, route: Route) -> None:
+        """Raise RefusedError if this daemon stops before the route's objective."""
+        if request.received_at + route.latency_objective_s > self.drain_deadline():
+            raise RefusedError(
+                "this daemon stops before the request can be served",
+                step=Step.ADMIT,
+                retry_after_s=DEFAULT_RETRY_AFTER_S,
+            )
+
     def _authenticate(
         self, configuration: Configuration, request: Request, route: Route | None
     ) -> str:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -44,6 +44,8 @@
         self.other_replicas: list[FakeReplica] = []
         self.daemons: dict[str, FleetDaemon] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
+        self.stops: dict[str, anyio.Event] = {}
+        self.drain_s = 2.0
         self.pool = HttpPool(anyio.current_time)
 
     async def start(self) -> None:
@@ -79,7 +81,7 @@
             seeds=(),
             store=self.store.address,
             duty_api=self.duty_api.address,
-            drain_s=2.0,
+            drain_s=self.drain_s,
             usage_window_s=1.0,
             batch_retention_s=60.0,
             metrics_address=f"127.0.0.1:{free_port()}",
@@ -88,7 +90,9 @@
             async with anyio.create_task_group() as tasks:
                 daemon = FleetDaemon(build_fleet_settings(settings), build_ports(settings), tasks)
                 self.daemons[name] = daemon
-                await daemon.run(anyio.Event())
+                self.stops[name] = anyio.Event()
+                await daemon.run(self.stops[name])
+                tasks.cancel_scope.cancel()
 
     async def call(
         self,
