List the upstreams anew before a stream that nobody knows is taken up

A daemon that was cut off from the others and the store, and so could not ask who began a stream, went on at the old version, the only one it knew: its list counted as up to date for 3 s after its last confirmation. Asked daemons answer rightly, so one that stood still and is back finds the version; shown for daemons that are reachable by tests.platform.test_stream_versions.

Cause: a list confirmed lately was taken for one that is true now.

Now the list is read anew when nobody knows the stream, and without a response of the store the request is rejected as not run. A gap of over 3 s without a confirmation, in which a version may have come and gone unseen, ends the period for which the daemon vouches. The price: a listing for such a take-up.

The test of streams of other customers passed a function without argument for the list; it now gets the period and is a coroutine, with the same result.

--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -33,12 +33,17 @@
 """Return the id of one complete event, or None if it has none."""
 
 
+async def _confirm_always(period_s: float) -> bool:
+    """Return True, where no list of upstreams is followed."""
+    return True
+
+
 class StreamForwarder:
     """Forward requests whose responses are streams of events.
 
     A stream goes on only at upstreams of the software version that began it, also if its client
-    takes it up at another daemon. `upstreams_confirmed` returns whether the list of upstreams is up
-    to date.
+    takes it up at another daemon. `confirm_upstreams` returns whether the list of upstreams is up
+    to date now, and has been throughout a past period in seconds.
     """
 
     def __init__(
@@ -46,12 +51,12 @@
         forwarder: Forwarder,
         parse_event_id: ParseEventId,
         stream_versions: StreamVersions | None = None,
-        upstreams_confirmed: Callable[[], bool] = lambda: True,
+        confirm_upstreams: Callable[[float], Awaitable[bool]] = _confirm_always,
     ) -> None:
         self.forwarder = forwarder
         self.parse_event_id = parse_event_id
         self.stream_versions = stream_versions
-        self.upstreams_confirmed = upstreams_confirmed
+        self.confirm_upstreams = confirm_upstreams
 
     async def forward(
         self, request: ForwardedRequest, start: StartResponse, send: SendChunk
@@ -137,8 +142,8 @@
             max_wait_s = LOOKUP_PATIENCE_FACTOR * (request.deadline - self.forwarder.clock())
             stream_key = make_stream_key(request.customer, request.resumed_id)
             software_version = await self.stream_versions.find(stream_key, max_wait_s)
-        if software_version is None and self.upstreams_confirmed():
-            age_s = max(STREAM_AGE_MIN_S, STREAM_AGE_FACTOR * request.route.timeout_s)
+        age_s = max(STREAM_AGE_MIN_S, STREAM_AGE_FACTOR * request.route.timeout_s)
+        if software_version is None and await self.confirm_upstreams(age_s):
             software_version = self.forwarder.table.only_software_version(request.service, age_s)
         log_message(
             message_type="stream:taken_up",
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -129,5 +129,3 @@
 STREAM_AGE_FACTOR = 4.0
 """Longest time for which clients take up a stream, as a multiple of its route's timeout."""
 STREAM_AGE_MIN_S = 30.0
-VIEW_CONFIRMED_WITHIN_S = 3.0
-"""A list of upstreams that was confirmed longer ago may lack a software version."""
--- a/acaciarill/fleet_daemon/_feed.py
+++ b/acaciarill/fleet_daemon/_feed.py
@@ -165,7 +165,7 @@
             follower.pause()
             follower.set_following(kind not in failing_kinds, "the watcher lost the store")
             if kind not in failing_kinds:
-                follower.confirmed_at = self.clock()
+                follower.confirm(self.clock())
 
     def _apply(self, follower: MirrorFollower, update: Any) -> None:
         if update.lost_s_ago is not None:
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -8,8 +8,8 @@
 from ..batches import BatchHead
 from ..batches.const import KIND_HEADS
 from ..control import FleetDemand
+from ..errors import StoreError
 from ..fleet import ROLE_FRONT, Configuration, Member, Members, Upstream, UpstreamTable
-from ..fleet.const import VIEW_CONFIRMED_WITHIN_S
 from ..mirrors import KindSource, Mirror, MirrorFollower, Record
 from ..mirrors.const import (
     LISTING_RETRY_DELAY_FRONT_S,
@@ -169,10 +169,20 @@
         last_outage_at = self.followers[self.ports.kinds.upstreams].last_outage_at()
         return now if last_outage_at is None else max(now, last_outage_at + OUTAGE_ENTRY_GRACE_S)
 
-    def is_upstream_list_confirmed(self) -> bool:
-        """Return whether the list of upstreams was known to be up to date a moment ago."""
+    async def confirm_upstreams(self, period_s: float) -> bool:
+        """Return whether the list of upstreams is up to date and has been for a past period.
+
+        It is listed anew: an upstream may have joined since it was last confirmed.
+        """
         follower = self.followers[self.ports.kinds.upstreams]
-        return follower.is_following and follower.unconfirmed_for_s() <= VIEW_CONFIRMED_WITHIN_S
+        try:
+            await follower.list_now()
+        except StoreError as error:
+            log_message(message_type="upstreams:confirm_failed", reason=error.message)
+            return False
+        return follower.followed_since is not None and (
+            self.clock() - follower.followed_since >= period_s
+        )
 
     def expire_missing_upstreams(self) -> None:
         """Remove the upstreams whose entries are missing for longer than their grace period."""
--- a/acaciarill/mirrors/_mirror.py
+++ b/acaciarill/mirrors/_mirror.py
@@ -10,7 +10,13 @@
 from eliot import log_message
 
 from ..errors import PeerError, Step, StoreError, StoreHistoryGoneError
-from .const import HISTORY_MAX_ENTRIES, MIN_OUTAGE_S, WATCH_RETRY_DELAY_S, WATCH_WAIT_S
+from .const import (
+    HISTORY_MAX_ENTRIES,
+    MAX_CONFIRMATION_GAP_S,
+    MIN_OUTAGE_S,
+    WATCH_RETRY_DELAY_S,
+    WATCH_WAIT_S,
+)
 
 Listener = Callable[[], None]
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, IndexError)
@@ -241,7 +247,9 @@
     `watch_delay_s` is the delay before the next watch, so that one call returns several changes;
     `listing_retry_delay_s` is the delay after a failed listing. `confirmed_at` is when the mirror
     was last known to be up to date, before the change that its listeners are being told of.
-    `watch_due_at` is when the store will have answered the open watch, changes or not.
+    `watch_due_at` is when the store will have answered the open watch, changes or not. Since
+    `followed_since` the mirror has been confirmed without a gap in which an object may have come
+    and gone unseen.
     """
 
     def __init__(
@@ -263,6 +271,7 @@
         self.outage_ended_at: float | None = None
         self.failing_since: float | None = None
         self.confirmed_at: float | None = None
+        self.followed_since: float | None = None
         self.watch_due_at: float | None = None
         self.needs_listing = True
         self.paused = False
@@ -298,10 +307,7 @@
     async def _list_or_watch(self) -> None:
         mirror = self.mirror
         if self.needs_listing:
-            started_at = self.clock()
-            position, records = await self.source.list_kind(mirror.kind)
-            mirror.replace(position, records)
-            self.confirmed_at = started_at
+            await self.list_now()
             self.needs_listing = False
             return
         self.watch_due_at = self.clock() + self.wait_s
@@ -311,9 +317,22 @@
             )
         finally:
             self.watch_due_at = None
-        self.confirmed_at = self.clock()  # an open watch returns changes as they happen
+        self.confirm(self.clock())  # an open watch returns changes as they happen
         mirror.apply(position, changes)
 
+    async def list_now(self) -> None:
+        """List the objects and apply them; raise StoreError."""
+        started_at = self.clock()
+        position, records = await self.source.list_kind(self.mirror.kind)
+        self.mirror.replace(position, records)
+        self.confirm(started_at)
+
+    def confirm(self, at: float) -> None:
+        """Record that the mirror was up to date at a time."""
+        if self.confirmed_at is None or at - self.confirmed_at > MAX_CONFIRMATION_GAP_S:
+            self.followed_since = at
+        self.confirmed_at = max(at, self.confirmed_at or at)
+
     def pause(self) -> None:
         """Stop all calls to the store until `resume`."""
         if self.paused:
--- a/acaciarill/mirrors/const.py
+++ b/acaciarill/mirrors/const.py
@@ -14,6 +14,9 @@
 peer can."""
 HISTORY_MAX_ENTRIES = 64
 """About 20 s of changes, collected for 0.3 s per entry; the store retains its history as long."""
+MAX_CONFIRMATION_GAP_S = 3.0
+"""An object may have come and gone unseen in a longer time without a confirmation: a registration
+lasts that long at least."""
 MIN_OUTAGE_S = 0.6
 """Calls to the store must fail for this long to count as an outage. A watch that was cut is open
 again sooner, and no entry expires in less time."""
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -47,7 +47,7 @@
             lambda: daemon.configuration,
             daemon.forwarder,
             daemon.stream_versions,
-            daemon.mirrors.is_upstream_list_confirmed,
+            daemon.mirrors.confirm_upstreams,
             daemon.batch_manager,
             daemon.clock,
             daemon.metrics.observe_request,
--- a/acaciarill/platform/_request_handler.py
+++ b/acaciarill/platform/_request_handler.py
@@ -1,7 +1,7 @@
 """Handle client requests: authenticate, route and forward them, and serve the batch API."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, unquote
 
 from eliot import log_message
@@ -61,7 +61,7 @@
         configuration: Callable[[], Configuration | None],
         forwarder: Forwarder,
         stream_versions: StreamVersions,
-        upstreams_confirmed: Callable[[], bool],
+        confirm_upstreams: Callable[[float], Awaitable[bool]],
         batch_manager: BatchManager,
         clock: Callable[[], float],
         observe_request: Callable[[str, int, float], None],
@@ -71,7 +71,7 @@
         self.configuration = configuration
         self.forwarder = forwarder
         self.stream_forwarder = StreamForwarder(
-            forwarder, parse_event_id, stream_versions, upstreams_confirmed
+            forwarder, parse_event_id, stream_versions, confirm_upstreams
         )
         self.batch_manager = batch_manager
         self.clock = clock
--- a/tests/fleet/test_streaming.py
+++ b/tests/fleet/test_streaming.py
@@ -139,7 +139,11 @@
         table.update([upstream])
         sender = AttemptSender(HttpPool(clock), UpstreamCodec(encode, decode), clock)
         forwarder = Forwarder(sender, table, clock, random.Random(1))
-        streams = StreamForwarder(forwarder, lambda event: 0, versions, lambda: False)
+
+        async def confirm_nothing(period_s: float) -> bool:
+            return False
+
+        streams = StreamForwarder(forwarder, lambda event: 0, versions, confirm_nothing)
 
         def request(customer: str, **fields: object) -> ForwardedRequest:
             deadline = clock() + 1.0
--- a/tests/platform/raw_fleet.py
+++ b/tests/platform/raw_fleet.py
@@ -160,11 +160,14 @@
         async def ask(holder: str, key: str) -> None:
             return None
 
+        async def confirm_upstreams(period_s: float) -> bool:
+            return True
+
         handler = RequestHandler(
             lambda: configuration,
             Forwarder(sender, table, clock, random.Random(1)),
             StreamVersions(members, lambda *told: None, ask, clock),
-            lambda: True,
+            confirm_upstreams,
             None,  # type: ignore[arg-type]
             clock,
             lambda *observed: None,
