--- a/acaciarill/fleet/_attempts.py
+++ b/acaciarill/fleet/_attempts.py
@@ -216,9 +216,10 @@
         the request may have run. While this daemon's links are lost, another one passes the request
         on.
         """
-        started_at = self.clock()
+        deadline = self.clock() + attempt.remaining_s
 
         def encode() -> EncodedRequest:
+            attempt.remaining_s = deadline - self.clock()
             return EncodedRequest(
                 state.upstream,
                 attempt.request_id,
@@ -243,7 +244,6 @@
                 else:
                     yield response
                     return
-            attempt.remaining_s -= self.clock() - started_at
             try:
                 response = await stack.enter_async_context(
                     self._open_relayed(state, attempt, encode())
--- a/acaciarill/relays/_client.py
+++ b/acaciarill/relays/_client.py
@@ -82,6 +82,8 @@
             if frame.forward_end is not None:
                 self.response_complete = True
                 return
+            if frame.forward_chunk is None:
+                raise self.build_error("relaying daemon sent an unexpected frame", Step.FORWARD)
             yield frame.forward_chunk.data
 
     def build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
@@ -224,13 +226,16 @@
 
     async def _take_connection(self, name: str) -> tuple[FrameStream, anyio.abc.SocketStream]:
         """Return an open connection to a daemon; raise PeerError."""
+        member = self.members.by_name.get(name)
+        if member is None:
+            raise _connect_error(name)
         idle = self.idle_connections.get(name, [])
         while idle:
             connection = idle.pop()
             if connection.is_reusable(self.clock()):
                 return connection.frame_stream, connection.stream
             await connection.frame_stream.aclose()
-        host, port = split_address(self.members.by_name[name].address)
+        host, port = split_address(member.address)
         try:
             with anyio.fail_after(RELAY_CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, port)
@@ -241,12 +246,7 @@
                 frame_stream = FrameStream(stream)
                 await frame_stream.send(messages.Frame(call_id=0, greeting=self.greeting))
         except (TimeoutError, *CONNECTION_ERRORS) as error:
-            raise PeerError(
-                "cannot connect to the relaying daemon",
-                step=Step.CONNECT,
-                peer=name,
-                outcome=Outcome.NOT_RUN,
-            ) from error
+            raise _connect_error(name) from error
         return frame_stream, stream
 
     def _return_to_pool(
@@ -277,3 +277,12 @@
         log_message(
             message_type="relay:avoided", peer=name, reason=reason, backoff_s=RELAY_BACKOFF_S
         )
+
+
+def _connect_error(name: str) -> PeerError:
+    return PeerError(
+        "cannot connect to the relaying daemon",
+        step=Step.CONNECT,
+        peer=name,
+        outcome=Outcome.NOT_RUN,
+    )
