Run tests of whole fleets on event loops without debug mode

unittest switches the debug mode of asyncio on, which records a stack for each callback. The mode only writes log lines, no test reads them.

--- a/tests/edge/test_response_limits.py
+++ b/tests/edge/test_response_limits.py
@@ -12,6 +12,7 @@
 from acaciarill.edge.const import MAX_RESPONSE_BYTES
 from acaciarill.errors import Outcome, UpstreamError
 from acaciarill.platform._decode import EventReader
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.ports import free_port
 
 CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
@@ -42,7 +43,7 @@
         tasks.cancel_scope.cancel()
 
 
-class EndlessResponsesTest(unittest.IsolatedAsyncioTestCase):
+class EndlessResponsesTest(PlainLoopTestCase):
     """Request responses that never end; each must fail at a limit and say which."""
 
     async def failure(self, first: bytes, repeated: bytes) -> UpstreamError:
--- a/tests/platform/test_broken_items.py
+++ b/tests/platform/test_broken_items.py
@@ -1,9 +1,8 @@
 """Test what the text of an item is when an engine stops in the middle of its response."""
 
-import unittest
-
 import anyio
 
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.raw_upstream import RawAnswer, RawRequest, RawUpstream, Then, encode_response
 from tests.platform.batches import make_item, running_batches, stream_events
 from tests.platform.raw_fleet import Answer, identify
@@ -57,7 +56,7 @@
 }
 
 
-class BrokenItemTest(unittest.IsolatedAsyncioTestCase):
+class BrokenItemTest(PlainLoopTestCase):
     """Run an item at an engine that breaks its response off, beside a sound one."""
 
     # Other operators' report, for engines' streams: an empty or short body passed for a whole one.
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -1,9 +1,9 @@
 """Test what clients get when a replica stops in the middle of its response."""
 
-import unittest
 from collections.abc import Callable
 
 from acaciarill.fleet import RouteKind
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.raw_upstream import RawAnswer, RawRequest, Then
 from tests.platform.raw_fleet import Answer, identify, make_route, raw_fleet, whole
 
@@ -54,7 +54,7 @@
     return answer
 
 
-class BrokenResponseTest(unittest.IsolatedAsyncioTestCase):
+class BrokenResponseTest(PlainLoopTestCase):
     """Stop in every part of a plain response, and close or reset the connection."""
 
     def cuts(self) -> list[tuple[str, Cut, Then]]:
--- a/tests/platform/test_broken_soak.py
+++ b/tests/platform/test_broken_soak.py
@@ -2,12 +2,12 @@
 
 import os
 import random
-import unittest
 from collections import Counter
 
 import anyio
 
 from acaciarill.fleet import RouteKind
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.raw_upstream import RawAnswer, RawRequest, RawUpstream, Then, encode_response
 from tests.platform.batches import ROUTE, RunningBatches, make_item, running_batches
 from tests.platform.raw_fleet import REQUEST_ID, RawFleet, identify, make_route, raw_fleet
@@ -104,7 +104,7 @@
         return answer
 
 
-class BrokenSoakTest(unittest.IsolatedAsyncioTestCase):
+class BrokenSoakTest(PlainLoopTestCase):
     """Judge each answer by what the replicas have run and sent."""
 
     def setUp(self) -> None:
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -1,8 +1,7 @@
 """Test what clients get when a stream breaks off and the next replica does not go on with it."""
 
-import unittest
-
 from acaciarill.fleet import Route, RouteKind
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.raw_upstream import RawAnswer, RawRequest, Then, encode_response
 from tests.platform.raw_fleet import Answer, identify, make_route, raw_fleet
 
@@ -92,7 +91,7 @@
 }
 
 
-class BrokenStreamTest(unittest.IsolatedAsyncioTestCase):
+class BrokenStreamTest(PlainLoopTestCase):
     """Break streams off and let the next replica answer in other ways."""
 
     def resumable(self, max_attempts: int) -> Route:
--- a/tests/platform/test_configuration_delay.py
+++ b/tests/platform/test_configuration_delay.py
@@ -1,11 +1,11 @@
 """Test that a confirmed configuration is in force in time at daemons that reach the store."""
 
-import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import anyio
 
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import configuration
 from tests.platform.partitions import Partitions, silence_store
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
@@ -15,7 +15,7 @@
 WATCHERS = ("s1", "s2", "s3")
 
 
-class ConfigurationDelayTest(unittest.IsolatedAsyncioTestCase):
+class ConfigurationDelayTest(PlainLoopTestCase):
     """Change the configuration while a daemon with callers has lost some of the others."""
 
     @asynccontextmanager
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -1,6 +1,5 @@
 """Test that a request that crashes the replicas that run it is not sent on without end."""
 
-import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -10,6 +9,7 @@
 
 from acaciarill.command_line import main
 from acaciarill.edge import HttpResponse
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import CrashingReplica, submission
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
@@ -74,7 +74,7 @@
     await anyio.sleep(CONTACT_S)
 
 
-class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
+class CrashingRequestTest(PlainLoopTestCase):
     """Send the same request again and again at two daemons."""
 
     # A request under which three upstreams had crashed was sent to upstreams 7 times more.
@@ -186,7 +186,7 @@
             self.assertEqual((await fleet.send("f1", 100)).head.status, 200)
 
 
-class SoundRequestTest(unittest.IsolatedAsyncioTestCase):
+class SoundRequestTest(PlainLoopTestCase):
     """Crash replicas on which sound requests and items run."""
 
     async def test_sound_request_beside_three_crashes_is_still_served(self) -> None:
--- a/tests/platform/test_crashing_soak.py
+++ b/tests/platform/test_crashing_soak.py
@@ -1,13 +1,12 @@
 """Soak daemons that are killed in turn with requests that crash replicas, beside sound ones."""
 
-import asyncio
 import os
 import random
-import unittest
 
 import anyio
 
 from acaciarill.errors import UpstreamError
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.test_crashing_requests import (
     CONTACT_S,
     MAX_LATE_RETRIES,
@@ -23,11 +22,11 @@
 """Sound requests that are sent this long after any trouble are expected to be served."""
 
 
-class CrashSoakTest(unittest.IsolatedAsyncioTestCase):
+class CrashSoakTest(PlainLoopTestCase):
     """Judge the requests that reach replicas as the users do, by the daemons' uptimes."""
 
     async def asyncSetUp(self) -> None:
-        asyncio.get_running_loop().set_debug(False)
+        await super().asyncSetUp()
         self.rng = random.Random(SEED)
         self.started_at = {"f1": 0.0, "f2": 0.0, "s1": 0.0}
         self.downtimes: list[tuple[str, float, float]] = []
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -1,6 +1,5 @@
 """Test that a daemon that stops leaves no request that it has read without an answer."""
 
-import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -8,6 +7,7 @@
 import anyio.abc
 
 from acaciarill.addresses import split_address
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import configuration
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
@@ -15,7 +15,7 @@
 ROUTE_TIMEOUT_S = 20.0
 
 
-class LateRequestTest(unittest.IsolatedAsyncioTestCase):
+class LateRequestTest(PlainLoopTestCase):
     """Send requests on kept and new connections until a daemon that stops is gone."""
 
     @asynccontextmanager
--- a/tests/platform/test_leaving_header.py
+++ b/tests/platform/test_leaving_header.py
@@ -8,6 +8,7 @@
 
 from acaciarill.edge import ResponseHead
 from acaciarill.platform._headers import decode_response
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import FakeReplica, submission
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
@@ -52,7 +53,7 @@
         self.assertFalse(self.is_leaving(200, (b"server-leaving", b"1")))
 
 
-class LeavingReplicaTest(unittest.IsolatedAsyncioTestCase):
+class LeavingReplicaTest(PlainLoopTestCase):
     """Let replicas leave while their registrations still say that they are ready."""
 
     # A replica was taken for leaving by its registration only, which a cut-off daemon does not see.
--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -1,6 +1,5 @@
 """Test daemons that lose their links to all upstreams while callers, peers and store reach them."""
 
-import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -9,6 +8,7 @@
 
 from acaciarill.edge import HttpResponse
 from acaciarill.errors import AcaciarillError
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import configuration, submission
 from tests.platform.partitions import LostLinks, PartitionKind
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
@@ -20,7 +20,7 @@
 ITEMS = 16
 
 
-class LostLinksTest(unittest.IsolatedAsyncioTestCase):
+class LostLinksTest(PlainLoopTestCase):
     """Cut the links of one of two daemons with callers, in the three ways that the users name."""
 
     @asynccontextmanager
--- a/tests/platform/test_lost_links_soak.py
+++ b/tests/platform/test_lost_links_soak.py
@@ -2,12 +2,12 @@
 
 import os
 import random
-import unittest
 from collections import Counter
 
 import anyio
 
 from acaciarill.errors import AcaciarillError
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import configuration, submission
 from tests.platform.partitions import LostLinks, PartitionKind
 from tests.platform.test_whole_path import LocalFleet, wait_until
@@ -126,7 +126,7 @@
                 self.faults.append(f"{name} quarantines requests, though no upstream crashed")
 
 
-class LostLinksSoakTest(unittest.IsolatedAsyncioTestCase):
+class LostLinksSoakTest(PlainLoopTestCase):
     """Run the soak with the seed and for the seconds of SOAK_SEED and SOAK_S."""
 
     # TWICE, REFUSED, MIXED, LOST while exchanges move between direct and relayed ways.
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -8,6 +8,7 @@
 from acaciarill.mirrors import DECODE_ERRORS
 from acaciarill.platform._objects import decode_changes, decode_listing, decode_object
 from acaciarill.platform._store import PlatformStore
+from tests.fakes.event_loop import PlainLoopTestCase
 
 DEEP = b"[" * 200 + b"]" * 200
 UNREADABLE = (b"[" * 5000 + b"]" * 5000, DEEP, b"1e400", b"NaN", b'"\\ud800"', b'"\xff"')
@@ -81,7 +82,7 @@
         self.assertTrue(decode_object(encoded("odd", 4, DEEP)).fault)
 
 
-class StoreCallTest(unittest.IsolatedAsyncioTestCase):
+class StoreCallTest(PlainLoopTestCase):
     """Call a store whose responses are malformed."""
 
     async def test_malformed_response_is_a_store_error(self) -> None:
--- a/tests/platform/test_outdated_lists.py
+++ b/tests/platform/test_outdated_lists.py
@@ -1,10 +1,10 @@
 """Test that a daemon that is out of step joins no stream from two software versions."""
 
-import unittest
 from unittest import mock
 
 import anyio
 
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.partitions import Partitions, silence_store
 from tests.platform.test_stream_versions import ClientStream, VersionFleet
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, wait_until
@@ -13,7 +13,7 @@
 EVENTS_BEFORE_BREAK = 3
 
 
-class OutdatedListTest(unittest.IsolatedAsyncioTestCase):
+class OutdatedListTest(PlainLoopTestCase):
     """Take streams up at a daemon that does not know the upstreams that began them."""
 
     def setUp(self) -> None:
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -1,11 +1,11 @@
 """Test that all daemons together keep the rate limit that a replica names in its responses."""
 
-import unittest
 from bisect import bisect_right
 
 import anyio
 
 from acaciarill.edge import HttpResponse
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import FakeReplica, submission
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet
 
@@ -25,7 +25,7 @@
     )
 
 
-class RateLimitTest(unittest.IsolatedAsyncioTestCase):
+class RateLimitTest(PlainLoopTestCase):
     """Limit replicas that two daemons use at once."""
 
     def check_requests(self, replica: FakeReplica, limit: float) -> None:
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -1,13 +1,12 @@
 """Test that a replica's malformed report costs only the call that asked for it."""
 
-import unittest
-
 import anyio
 
 from acaciarill.edge import HttpPool, Request, Responder
 from acaciarill.errors import UpstreamError
 from acaciarill.fleet import Upstream, UpstreamState
 from acaciarill.platform._duties import DutyClient
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.upstream import FakeUpstream
 
 VALID = b'{"models":[{"name":"m","version":3}],"busy":false,"sequence":4}'
@@ -24,7 +23,7 @@
 )
 
 
-class ReportTest(unittest.IsolatedAsyncioTestCase):
+class ReportTest(PlainLoopTestCase):
     """Read reports over real connections."""
 
     # review/3 on a related path: an answer of another form ended the task that waited for it.
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -1,8 +1,6 @@
 """Test that no stream holds events of upstreams of two software versions."""
 
-import asyncio
 import random
-import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -10,6 +8,7 @@
 import anyio
 
 from acaciarill.errors import UpstreamError
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import CrashingReplica, submission
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
@@ -133,12 +132,9 @@
             tasks.cancel_scope.cancel()
 
 
-class StreamVersionTest(unittest.IsolatedAsyncioTestCase):
+class StreamVersionTest(PlainLoopTestCase):
     """Break streams off while two software versions serve, and take them up again."""
 
-    async def asyncSetUp(self) -> None:
-        asyncio.get_running_loop().set_debug(False)  # many streams in one process
-
     def check_complete(self, streams: list[ClientStream]) -> None:
         self.assertEqual(
             [(s.id, s.statuses, s.errors, len(s.events)) for s in streams if not s.complete], []
--- a/tests/platform/test_unreadable_entries.py
+++ b/tests/platform/test_unreadable_entries.py
@@ -1,10 +1,9 @@
 """Test that odd entries among those of the replicas cost only themselves."""
 
-import unittest
-
 import anyio
 import orjson
 
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import FakeReplica, submission
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
@@ -32,7 +31,7 @@
 }
 
 
-class UnreadableEntryTest(unittest.IsolatedAsyncioTestCase):
+class UnreadableEntryTest(PlainLoopTestCase):
     """Write odd entries, then register one more engine."""
 
     # Other operators' report: machines that read an odd entry ended again and again, or followed
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,6 +1,5 @@
 """Test daemons end to end against fakes of the platform."""
 
-import unittest
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -19,6 +18,7 @@
 from acaciarill.mirrors.const import MIN_OUTAGE_S
 from acaciarill.platform._main import build_fleet_settings, build_ports
 from acaciarill.platform._settings import PlatformSettings
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.ports import free_port
 from tests.platform.fakes import (
     FakeDutyApi,
@@ -155,7 +155,7 @@
         await anyio.sleep(0.01)
 
 
-class EndToEndTest(unittest.IsolatedAsyncioTestCase):
+class EndToEndTest(PlainLoopTestCase):
     """Test requests, batches, duties, and failures of the store and of daemons."""
 
     @asynccontextmanager
