--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -4,13 +4,10 @@
 from ._client import (
     CONNECTION_LOST,
     CONNECTION_REFUSED,
-    BodyReader,
     Exchange,
     HttpPool,
-    HttpResponse,
-    ResponseBuffers,
-    ResponseHead,
 )
+from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
 from ._server import EdgeLimits, EdgeServer, Request, Responder
 
 __all__ = [
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -17,16 +17,14 @@
 from ..addresses import check_address, split_address
 from ..errors import Outcome, Step, UpstreamError
 from ._checks import idle_reuse_s
+from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
 from .const import (
     CONNECT_TIMEOUT_S,
-    MAX_BUFFERED_BYTES,
     MAX_INLINE_REQUEST_BYTES,
     MAX_INTERIM_HEADS,
     MAX_RECENT_REQUEST_IDS,
-    MAX_RESPONSE_BYTES,
     READ_CHUNK_BYTES,
     TCP_USER_TIMEOUT_MS,
-    UNRESTRICTED_RESPONSE_BYTES,
 )
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -54,29 +52,6 @@
 """An address that is not `ip:port` raises the last one."""
 
 
-@dataclass(slots=True)
-class ResponseHead:
-    """Hold the status and the headers of a response; header names are in lower case."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-
-    def get(self, name: bytes) -> str | None:
-        """Return the first value of a header by its lower-case name, or None if it is missing."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return None
-
-
-@dataclass(slots=True)
-class HttpResponse:
-    """Hold a complete response."""
-
-    head: ResponseHead
-    body: bytes
-
-
 @dataclass(slots=True)
 class _Connection:
     address: str
@@ -96,53 +71,6 @@
         return not poller.poll(0)
 
 
-@dataclass(slots=True)
-class ResponseBuffers:
-    """Count the bytes of the response bodies that are being read."""
-
-    total_bytes: int = 0
-
-    def is_full(self) -> bool:
-        """Return whether only short responses may grow further."""
-        return self.total_bytes > MAX_BUFFERED_BYTES
-
-
-class BodyReader:
-    """Read a response body whole, within the limits of its size."""
-
-    def __init__(self, buffers: ResponseBuffers) -> None:
-        self.buffers = buffers
-        self.response_complete = False
-
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks as they arrive; raise UpstreamError if it is incomplete."""
-        raise NotImplementedError
-
-    def build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
-        """Return an error with what is known of the outcome."""
-        raise NotImplementedError
-
-    async def read_body(self) -> bytes:
-        """Return the complete body; raise UpstreamError if it is incomplete or too long."""
-        body = bytearray()
-        try:
-            async for chunk in self.chunks():
-                body += chunk
-                self.buffers.total_bytes += len(chunk)
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise self.build_error(
-                        f"response body is longer than {MAX_RESPONSE_BYTES} bytes", Step.RECEIVE
-                    )
-                if len(body) > UNRESTRICTED_RESPONSE_BYTES and self.buffers.is_full():
-                    raise self.build_error(
-                        f"all response bodies are longer than {MAX_BUFFERED_BYTES} bytes",
-                        Step.RECEIVE,
-                    )
-        finally:
-            self.buffers.total_bytes -= len(body)
-        return bytes(body)
-
-
 class Exchange(BodyReader):
     """Run one request on one connection of a pool.
 
