Let the texts of a test outlast its three crashes

Traced: it waited for a running request before the third crash, but the texts of six events at 0.1 s had ended by then, as the test's own pauses of 0.15 s take longer beside load. With pauses of 0.45 s it fails in the same way on a quiet loop; with texts of 19 events it passes with both. Nothing of the check is changed.

--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -16,6 +16,8 @@
 CONTACT_S = 3.0
 MAX_LATE_RETRIES = 3
 """Users' limit: retries later than CONTACT_S after the request has crashed the third replica."""
+LONG_TEXT_EVENTS = 19
+"""A text of these events at 0.1 s each does not end before the third crash."""
 CRASHES_ALLOWED = 3
 POISON = b"poison"
 
@@ -231,6 +233,7 @@
                 old.deregister()
             for engine in engines:
                 engine.models, engine.event_interval_s = {"m": 1}, 0.1
+                engine.event_count = LONG_TEXT_EVENTS
                 await fleet.tasks.start(engine.run)
                 engine.register()
             await fleet.call("f1", "POST", "/b/x", submission(2), id="batch-1")
