Name the check of links and its verdict as what they are

A function and a property of two meanings had one name (is_cut_off), and an event was called checked. Nothing else changes.

--- a/acaciarill/relays/__init__.py
+++ b/acaciarill/relays/__init__.py
@@ -1,7 +1,7 @@
 """Exchange requests with upstreams through other daemons while this one has lost its own links."""
 
 from ._client import RelayClient
-from ._decisions import LinkState, RelayCandidate, choose_probes, is_cut_off, order_relays
+from ._decisions import LinkState, RelayCandidate, are_links_lost, choose_probes, order_relays
 from ._links import UpstreamLinks
 from ._server import RelayServer
 
@@ -11,7 +11,7 @@
     "RelayClient",
     "RelayServer",
     "UpstreamLinks",
+    "are_links_lost",
     "choose_probes",
-    "is_cut_off",
     "order_relays",
 ]
--- a/acaciarill/relays/_decisions.py
+++ b/acaciarill/relays/_decisions.py
@@ -82,7 +82,7 @@
     return chosen
 
 
-def is_cut_off(reached: Sequence[bool]) -> bool:
+def are_links_lost(reached: Sequence[bool]) -> bool:
     """Return whether no probed upstream was reached; without any probe, nothing is known."""
     return bool(reached) and not any(reached)
 
--- a/acaciarill/relays/_links.py
+++ b/acaciarill/relays/_links.py
@@ -10,9 +10,9 @@
 from ..fleet import Upstream, UpstreamTable
 from ._decisions import (
     LinkState,
+    are_links_lost,
     choose_probes,
     is_check_due,
-    is_cut_off,
     is_quiet,
     is_silent_exchange,
     may_acquire_duties,
@@ -82,7 +82,7 @@
         self.on_change = on_change
         self.state = LinkState()
         self.open_exchanges: dict[int, TrackedExchange] = {}
-        self.checked: anyio.Event | None = None
+        self.check_finished: anyio.Event | None = None
 
     @property
     def is_cut_off(self) -> bool:
@@ -117,7 +117,7 @@
                 if tracked.abort is not None and is_silent_exchange(tracked.received_at, now):
                     abort, tracked.abort = tracked.abort, None
                     abort()
-        elif self.open_exchanges and self.checked is None and is_quiet(self.state, now):
+        elif self.open_exchanges and self.check_finished is None and is_quiet(self.state, now):
             is_stalled = any(tracked.is_stalled(now) for tracked in self.open_exchanges.values())
             if is_check_due(self.state, is_stalled, now):
                 self._start_check("unconfirmed bytes" if is_stalled else "silence", "")
@@ -126,14 +126,14 @@
         """Return whether the links are lost, after no connection to an upstream could be opened."""
         if self.is_cut_off:
             return True
-        if self.checked is None:
+        if self.check_finished is None:
             self._start_check("connection failed", suspect.id)
         return await self.wait_until_checked()
 
     async def wait_until_checked(self) -> bool:
         """Wait for the check that is running, if any, and return whether the links are lost."""
-        if self.checked is not None:
-            await self.checked.wait()
+        if self.check_finished is not None:
+            await self.check_finished.wait()
         return self.is_cut_off
 
     async def is_refused(
@@ -150,19 +150,19 @@
 
     def _start_check(self, reason: str, suspect: str) -> None:
         self.state.checked_at = self.clock()
-        self.checked = anyio.Event()
+        self.check_finished = anyio.Event()
         self.start_task(self._check, reason, suspect)
 
     async def _check(self, reason: str, suspect: str) -> None:
         try:
             probes = choose_probes(self._registered(), suspect, PROBED_UPSTREAMS)
             reached = await self._probe(probes)
-            if is_cut_off(reached):
+            if are_links_lost(reached):
                 self._record_cut_off(reason, suspect, probes)
         finally:
-            checked, self.checked = self.checked, None
-            if checked is not None:
-                checked.set()
+            finished, self.check_finished = self.check_finished, None
+            if finished is not None:
+                finished.set()
 
     def _registered(self) -> list[Upstream]:
         states = [state for state in self.table.states.values() if not state.has_left()]
--- a/tests/relays/__init__.py
+++ b/tests/relays/__init__.py
@@ -1,1 +1,1 @@
-"""Test relays."""
+"""Test acaciarill.relays."""
--- a/tests/relays/test_decisions.py
+++ b/tests/relays/test_decisions.py
@@ -9,8 +9,8 @@
 from acaciarill.relays import (
     LinkState,
     RelayCandidate,
+    are_links_lost,
     choose_probes,
-    is_cut_off,
     order_relays,
 )
 from acaciarill.relays._decisions import (
@@ -61,9 +61,9 @@
         self.assertTrue(is_check_due(links, False, 10.01 + LONG_SILENCE_S))
 
     def test_links_are_lost_only_if_no_probed_upstream_is_reached(self) -> None:
-        self.assertTrue(is_cut_off([False, False]))
-        self.assertFalse(is_cut_off([False, True]))
-        self.assertFalse(is_cut_off([]))
+        self.assertTrue(are_links_lost([False, False]))
+        self.assertFalse(are_links_lost([False, True]))
+        self.assertFalse(are_links_lost([]))
 
     def test_other_services_and_data_centres_are_probed_before_like_upstreams(self) -> None:
         upstreams = [
