--- /dev/null
+++ b/review/standins2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its replicas and its requesters; standard library only."""
