--- a/review/standins2/http1.py
+++ b/review/standins2/http1.py
@@ -9,10 +9,14 @@
 
 @dataclass(slots=True)
 class Message:
-    """Hold a request or a response; header names are in lower case."""
+    """Hold a request or a response; header names are in lower case.
+
+    `headers` has the first value of each name, `lines` all of them in their order.
+    """
 
     start: str
     headers: dict[str, str] = field(default_factory=dict)
+    lines: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     complete: bool = True
 
@@ -49,7 +53,8 @@
         if line in (b"\r\n", b"\n"):
             return message
         name, _, value = line.decode("latin-1").partition(":")
-        message.headers[name.strip().lower()] = value.strip()
+        message.lines.append((name.strip().lower(), value.strip()))
+        message.headers.setdefault(*message.lines[-1])
 
 
 async def read_body(
--- a/review/standins2/replica.py
+++ b/review/standins2/replica.py
@@ -64,6 +64,9 @@
                 "replica": self.name,
                 "id": request_id,
                 "path": request.target,
+                "ids": [
+                    value for name, value in request.lines if name == "x-acaciarill-attempt-id"
+                ],
                 "tenant": request.get("x-acaciarill-tenant"),
                 "bytes": len(request.body),
             }
