--- a/review/8/case.py
+++ b/review/8/case.py
@@ -46,7 +46,10 @@
         deployment.servers.append(await replica.start("127.0.0.1", 0))
         replica.address = deployment.servers[-1].sockets[0].getsockname()
         replica.register()
-    routes = [route("r-once", "/once/", "unsafe", "desk"), route("r-safe", "/safe/", "safe", "desk")]
+    routes = [
+        route("r-once", "/once/", "unsafe", "desk"),
+        route("r-safe", "/safe/", "safe", "desk"),
+    ]
     tenants = [{"name": "kaje80", "api_keys": [KEY], "priority": 1}]
     deployment.configure(configuration(3, routes, tenants))
     await deployment.start_daemons()
