--- a/review/6/case.py
+++ b/review/6/case.py
@@ -49,8 +49,7 @@
 async def case(deployment: Deployment) -> bool:
     replicas = [Replica(deployment.store, f"i-{n}", "desk", "alm-a") for n in range(2)]
     for replica in replicas:
-        deployment.servers.append(await replica.start("127.0.0.1", 0))
-        replica.address = deployment.servers[-1].sockets[0].getsockname()
+        await replica.start("127.0.0.1")
         replica.register()
     routes = [route("r-desk", "/desk/", "safe", "desk")]
     deployment.configure(configuration(3, routes, tenants(KEYS)))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -64,8 +64,7 @@
     for number, replica in enumerate(replicas):
         replica.slots = STREAMS // REPLICAS
         replica.unframed_every = UNFRAMED_EVERY if number < UNFRAMED_REPLICAS else 0
-        deployment.servers.append(await replica.start("127.0.0.1", 0))
-        replica.address = deployment.servers[-1].sockets[0].getsockname()
+        await replica.start("127.0.0.1")
         proxy = Proxy(replica.address)
         proxy.start("127.0.0.1")
         proxies.append(proxy)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -43,8 +43,7 @@
 async def case(deployment: Deployment) -> bool:
     replicas = [Replica(deployment.store, f"i-{n}", "desk", "alm-a") for n in range(3)]
     for replica in replicas:
-        deployment.servers.append(await replica.start("127.0.0.1", 0))
-        replica.address = deployment.servers[-1].sockets[0].getsockname()
+        await replica.start("127.0.0.1")
         replica.register()
     routes = [
         route("r-once", "/once/", "unsafe", "desk"),
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -58,13 +58,6 @@
     """Report that a case could not be set up."""
 
 
-def free_port(host: str) -> int:
-    """Return a port of an address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 def _free_host(taken: set[str]) -> str:
     """Return a loopback address on which the metrics port is free."""
     while True:
@@ -149,10 +142,9 @@
         """Start the platform and all daemons."""
         if not (ROOT / "target" / "deps").is_dir():
             raise CouldNotRunError("target/deps is missing: run the build of the deploy file")
-        store_port = free_port(self.platform_host)
-        self.servers.append(await self.store.start(self.platform_host, store_port))
-        duty_port = free_port(self.platform_host)
-        self.servers.append(await self.duty_api.start(self.platform_host, duty_port))
+        self.servers.append(await self.store.start(self.platform_host, 0))
+        self.servers.append(await self.duty_api.start(self.platform_host, 0))
+        store_port, duty_port = (server.sockets[0].getsockname()[1] for server in self.servers)
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         taken: set[str] = set()
         for role in roles.values():
@@ -164,7 +156,8 @@
                 command[0] = sys.executable if command[0] == "python3" else command[0]
                 self.daemons.append(Daemon(name, role["on"], host, command, self.folder))
         self.fronts = [daemon for daemon in self.daemons if daemon.role == "front"]
-        ports = [free_port("127.0.0.1") for _ in range(4)]
+        # Each daemon has an address of its own; these ports are outside the range of outgoing ones.
+        ports = [random.randint(first, first + 900) for first in (11000, 12000, 13000, 14000)]
         for daemon in self.daemons:
             self._write_settings(daemon, ports, store_port, duty_port)
 
--- a/review/standins2/replica.py
+++ b/review/standins2/replica.py
@@ -1,6 +1,7 @@
 """Stand in for the replicas of a service."""
 
 import asyncio
+import json
 import time
 from typing import Any
 
@@ -28,11 +29,34 @@
         self.ran: list[dict[str, Any]] = []
         self.address = ("", 0)
         self.work_s = 0.01
+        self.deadly_body = b""
+        self.restart_s = 2.0
+        self.crashes: list[float] = []
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.restarts: set[asyncio.Task[None]] = set()
 
-    async def start(self, host: str, port: int) -> asyncio.Server:
-        """Serve on an address."""
-        self.address = (host, port)
-        return await serve(host, port, self._answer)
+    async def start(self, host: str, port: int = 0) -> None:
+        """Serve on an address, on a free port by default."""
+        self.server = await serve(host, port, self._answer)
+        self.address = self.server.sockets[0].getsockname()
+
+    def _crash(self) -> None:
+        """End all channels and refuse new ones; start again after `restart_s` in a new lifetime."""
+        assert self.server is not None
+        self.crashes.append(time.time())
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+        task = asyncio.get_running_loop().create_task(self._restart())
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.restart_s)
+        await self.start(*self.address)
+        self.register()
 
     def register(self, address: tuple[str, int] | None = None) -> None:
         """Write the replica's entry, with another address if a proxy stands before it."""
@@ -48,11 +72,16 @@
             "sequence": 1,
             "born": int(time.time() * 1000),
         }
-        self.store.put("servers", self.name, entry)
+        self.store.put("servers", self.name, entry | self.entry_fields())
+
+    def entry_fields(self) -> dict[str, Any]:
+        """Return the further fields of the replica's entry."""
+        return {}
 
     async def _answer(
         self, request: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
+        self.writers.add(writer)
         if request.get("x-acaciarill-expect-instance") not in ("", self.name):
             writer.write(encode("HTTP/1.1 421 Misdirected Request", {"X-Acaciarill-Not-Run": "1"}))
             await writer.drain()
@@ -71,13 +100,23 @@
                 "bytes": len(request.body),
             }
         )
+        if self.deadly_body and request.body == self.deadly_body:
+            self._crash()
+            return False
         headers = {
             "X-Acaciarill-Attempt-Id": request_id,
             "X-Acaciarill-Server-Stamp": f"stamp.{self.name}.{request_id}",
         }
+        return await self._run(request, headers, writer)
+
+    async def _run(
+        self, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a request that runs here; return whether the channel stays open."""
         _, found, rest = request.target.partition("/events/")
         if found:
             return await self._send_events(request, rest, headers, writer)
+        request_id = headers["X-Acaciarill-Attempt-Id"]
         await asyncio.sleep(self.work_s)
         writer.write(encode("HTTP/1.1 200 OK", headers, f"done {request_id}".encode()))
         await writer.drain()
@@ -104,3 +143,34 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         return not unframed
+
+
+class Engine(Replica):
+    """Generate the texts of items, as a model replica does; it holds version 1 of one model.
+
+    Each text has `event_count` events, one every `interval_s`.
+    """
+
+    def __init__(self, store: Store, name: str, service: str, zone: str, model: str) -> None:
+        super().__init__(store, name, service, zone)
+        self.model = model
+        self.event_count = 30
+        self.interval_s = 0.05
+
+    def entry_fields(self) -> dict[str, Any]:
+        """Return what a model replica tells besides in its entry."""
+        models = [{"name": self.model, "version": 1, "adapters": []}]
+        return {"stage": "dual", "models": models}
+
+    async def _run(
+        self, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        if request.target == "/report":
+            report = self.entry_fields() | {"busy": False, "sequence": 0, "waiting": 0}
+            body = json.dumps(report | {"running": 0, "kv_used": 0, "kv_total": 90000}).encode()
+            writer.write(encode("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
+            await writer.drain()
+            return True
+        headers |= {"X-Acaciarill-Weight-Versions": "1"}
+        rest = f"{self.event_count}/{int(self.interval_s * 1000)}/"
+        return await self._send_events(request, rest, headers, writer)
