Review case 9: duty holders take turns in a rolling restart

A lease that is released by a planned stop is free at once, also for the machine that held it before. The case stops the holder and 1.3 s later the machine that took over, where fences are not checked.

--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -116,13 +116,16 @@
 class Deployment:
     """Run a store, the duty API and some daemons on loopback addresses, and write a record."""
 
-    def __init__(self, folder: Path, fronts: int = 1, keepers: int = 1) -> None:
+    def __init__(
+        self, folder: Path, fronts: int = 1, keepers: int = 1, require_fencing: bool = True
+    ) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started_at = time.time()
         self.record_file = (folder / "record.txt").open("w")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
-        self.duty_api = DutyApi()
+        self.bounds = BOUNDS | {"require_fencing": require_fencing}
+        self.duty_api = DutyApi(require_fencing)
         self.daemons: list[Daemon] = []
         self.fronts: list[Daemon] = []
         self.servers: list[asyncio.Server] = []
@@ -174,7 +177,7 @@
                 f'front = "{daemon.host}:{front}"\nready = "{daemon.host}:{ready}"\n'
                 f'control = "{daemon.host}:{control}"\n'
             )
-        bounds = "\n".join(f"{key} = {json.dumps(value)}" for key, value in BOUNDS.items())
+        bounds = "\n".join(f"{key} = {json.dumps(value)}" for key, value in self.bounds.items())
         serves = '["front","control"]' if is_front else '["store"]'
         daemon.settings.write_text(
             f'node = "{daemon.name}"\nrole = "{daemon.role}"\nmachine_class = "{daemon.role}"\n'
@@ -192,9 +195,11 @@
             'duties = ["metering"]\nduty_per_s = 50.0\n'
         )
 
-    async def start_daemons(self) -> None:
-        """Start all daemons and wait until those with requesters are ready."""
-        for daemon in self.daemons:
+    async def start_daemons(self, front_delay_s: float = 0.0) -> None:
+        """Start all daemons, the fronts some time later, and wait until those are ready."""
+        for daemon in sorted(self.daemons, key=lambda daemon: daemon.role == "front"):
+            if daemon.role == "front":
+                await asyncio.sleep(front_delay_s)
             daemon.start()
         for daemon in self.fronts:
             await self.wait_until_ready(daemon)
--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import time
+from dataclasses import asdict, dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -128,11 +130,27 @@
         return 200, self.objects[kind][name]
 
 
+@dataclass(slots=True, frozen=True)
+class DutyCall:
+    """Hold one accepted call of a singleton duty."""
+
+    at: float
+    target: str
+    holder: str
+    fence: int
+    body: Any
+
+    def as_fields(self) -> dict[str, Any]:
+        """Return what a record shows."""
+        return asdict(self)
+
+
 class DutyApi:
-    """Accept the calls of singleton duties and check their fence numbers."""
+    """Accept the calls of singleton duties; check their fence numbers if `checks_fences`."""
 
-    def __init__(self) -> None:
-        self.calls: list[tuple[str, str, int, Any]] = []
+    def __init__(self, checks_fences: bool = True) -> None:
+        self.checks_fences = checks_fences
+        self.calls: list[DutyCall] = []
 
     async def start(self, host: str, port: int) -> asyncio.Server:
         """Serve on an address."""
@@ -143,9 +161,11 @@
     ) -> bool:
         fence = int(request.get("x-acaciarill-fence-token") or 0)
         holder = request.get("x-acaciarill-duty-holder")
-        refused = any(call[0] == request.target and call[2] > fence for call in self.calls)
+        higher = [c for c in self.calls if c.target == request.target and c.fence > fence]
+        refused = self.checks_fences and bool(higher)
         if not refused:
-            self.calls.append((request.target, holder, fence, json.loads(request.body)))
+            body = json.loads(request.body)
+            self.calls.append(DutyCall(time.time(), request.target, holder, fence, body))
         writer.write(encode(f"HTTP/1.1 {409 if refused else 200} -", JSON))
         await writer.drain()
         return True
