--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -16,7 +16,7 @@
 class Store:
     """Keep objects by kind and name, with revisions, conditional writes and watches.
 
-    `refuses` says whether a call gets a 503 (`busy`) instead of being carried out.
+    While `is_busy`, each call gets a 503 instead of being carried out.
     """
 
     def __init__(self) -> None:
--- a/review/standins2/proxy.py
+++ b/review/standins2/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Coroutine
+from typing import Any
 
 
 class Proxy:
@@ -31,7 +33,7 @@
         self.address = self.listener.getsockname()
         self._start(self._accept())
 
-    def _start(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
