--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -17,6 +18,8 @@
 from review.standins2.http1 import call
 from review.standins2.replica import Engine, Replica
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the case does the same without the disruption."""
 KEY = "key-of-kaje80"
 BATCH = "7c41e09b52d6a3f8"
 GROUPS, ITEMS_A_GROUP = 4, 4
@@ -129,4 +132,4 @@
 
 if __name__ == "__main__":
     folder = Path(__file__).resolve().parent
-    sys.exit(asyncio.run(run_case(Deployment(folder), case)))
+    sys.exit(asyncio.run(run_case(Deployment(folder, TROUBLE), case)))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """Take both API keys away, and send requests with them and with one that never existed."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -16,6 +17,8 @@
 from review.standins2.http1 import call
 from review.standins2.replica import Replica
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the case does the same without the disruption."""
 KEYS = {"kaje80": "key-of-kaje80", "vopu11": "key-of-vopu11"}
 UNKNOWN_KEY = "key-that-no-configuration-held"
 REQUESTS = 10
@@ -86,4 +89,4 @@
 
 if __name__ == "__main__":
     folder = Path(__file__).resolve().parent
-    sys.exit(asyncio.run(run_case(Deployment(folder), case)))
+    sys.exit(asyncio.run(run_case(Deployment(folder, TROUBLE), case)))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """Partition the front machine from all replicas while a stream without a length is under way."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -16,6 +17,8 @@
 from review.standins2.proxy import Proxy
 from review.standins2.replica import Replica
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the case does the same without the disruption."""
 KEY = "key-of-kaje80"
 EVENTS, INTERVAL_MS = 20, 400
 CUT_AFTER_S, CUT_S = 2.5, 4.0
@@ -111,4 +114,4 @@
 
 if __name__ == "__main__":
     folder = Path(__file__).resolve().parent
-    sys.exit(asyncio.run(run_case(Deployment(folder, keepers=0), case)))
+    sys.exit(asyncio.run(run_case(Deployment(folder, TROUBLE, keepers=0), case)))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """Send requests that carry a header of the requester's own, `X-Request-Id`."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -14,6 +15,8 @@
 from review.standins2.http1 import call
 from review.standins2.replica import Replica
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the case does the same without the disruption."""
 KEY = "key-of-kaje80"
 REQUESTS = 10
 
@@ -69,4 +72,4 @@
 
 if __name__ == "__main__":
     folder = Path(__file__).resolve().parent
-    sys.exit(asyncio.run(run_case(Deployment(folder), case)))
+    sys.exit(asyncio.run(run_case(Deployment(folder, TROUBLE), case)))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """Stop the holder of the duties, and a second later the machine that took them over."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -17,6 +18,8 @@
 )
 from review.standins2.replica import Replica
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""With TROUBLE=0 the case does the same without the disruption."""
 GAP_S = 1.3
 """Time between the two SIGTERMs."""
 RESTART_DELAY_S = 0.1
@@ -105,5 +108,5 @@
 
 if __name__ == "__main__":
     folder = Path(__file__).resolve().parent
-    case_deployment = Deployment(folder, require_fencing=False)
+    case_deployment = Deployment(folder, TROUBLE, require_fencing=False)
     sys.exit(asyncio.run(run_case(case_deployment, case)))
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -109,12 +109,20 @@
 
 
 class Deployment:
-    """Run a store, the duty API and some daemons on loopback addresses, and write a record."""
+    """Run a store, the duty API and some daemons on loopback addresses, and write a record.
+
+    Without `trouble` the case does the same without its disruption.
+    """
 
     def __init__(
-        self, folder: Path, fronts: int = 1, keepers: int = 1, require_fencing: bool = True
+        self,
+        folder: Path,
+        trouble: bool,
+        fronts: int = 1,
+        keepers: int = 1,
+        require_fencing: bool = True,
     ) -> None:
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.started_at = time.time()
         self.record_file = (folder / "record.txt").open("w")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -126,6 +134,7 @@
         self.servers: list[asyncio.Server] = []
         self.platform_host = "127.0.0.1"
         self.counts = {"front": fronts, "store": keepers}
+        self.note("case begins", trouble=trouble)
 
     def note(self, what: str, **fields: Any) -> None:
         """Write one line to the record."""
