Let a former duty holder succeed another one only after lease_ms

What callers saw: in a rolling restart the platform got usage reports from a store machine, a front machine and the store machine again within 1.5 to 2.3 s (ONE, where fences are not checked).

Cause: a release lets a successor acquire the lease at once, rightly, but nothing kept a distance between two terms of one host with another host between them. The record names only the last holder, and a process that starts knows of no term before.

`lease:acquired` now tells from whom the lease was taken and whether it had been released; `lease:released` and `lease:return_delayed` are new.

Why it works: a host succeeds another holder only `lease_ms` + 0.3 s after it last held the lease; a process that has just started counts as having held it until its start, as it can't know. A host whose own record is the last one returns at once. The stored record is unchanged, so builds before read it.

--- a/acaciarill/duties.py
+++ b/acaciarill/duties.py
@@ -41,7 +41,8 @@
 class DutyManager:
     """Compete for the leases of the duties for which this daemon is a candidate.
 
-    `ttl_s` is the duration of a lease and `renew_s` the period of its renewal, in seconds. A lease
+    `ttl_s` is the duration of a lease, `renew_s` the period of its renewal, and `return_delay_s`
+    how long a former holder does not succeed another one, by default `ttl_s`, in seconds. A lease
     is released once `may_hold` is false, and acquired only while `may_acquire` is true.
     """
 
@@ -55,7 +56,9 @@
         renew_s: float = LEASE_RENEW_PERIOD_S,
         may_hold: Callable[[], bool] = lambda: True,
         may_acquire: Callable[[], bool] = lambda: True,
+        return_delay_s: float | None = None,
     ) -> None:
+        self.return_delay_s = return_delay_s
         self.may_hold = may_hold
         self.may_acquire = may_acquire
         self.ttl_s = ttl_s
@@ -95,6 +98,7 @@
             is_candidate,
             on_acquired,
             self.ttl_s,
+            self.return_delay_s,
         )
         duty = Duty(name, holder, work, [])
         duty.unsubscribes = [
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -287,6 +287,7 @@
             DUTY_LEASE_RENEW_PERIOD_S,
             lambda: not self.links.is_cut_off or not self.members.has_linked_peer(),
             lambda: self.links.may_acquire_duties() or not self.members.has_linked_peer(),
+            self.settings.duty_return_delay_s,
         )
         calls = self.ports.duty_calls(self)
         self.usage = UsageDuty(
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -8,6 +8,7 @@
 from ..control import OrderOutcome
 from ..edge import Request, Responder
 from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
+from ..fleet.const import DUTY_LEASE_TTL_S
 from ..leases import Lease
 from ..mirrors import KindSource, Record
 from .const import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
@@ -21,6 +22,8 @@
     """Hold the settings of one process; addresses are `ip:port`, times are in seconds.
 
     `max_object_bytes` is the store's limit of one object, `memory_bytes` that of the process.
+    `duty_return_delay_s` is how long after it has last acted for a duty a daemon does not succeed
+    another holder of that duty.
     """
 
     host: str
@@ -36,6 +39,7 @@
     metrics_address: str
     max_object_bytes: int = DEFAULT_MAX_OBJECT_BYTES
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    duty_return_delay_s: float = DUTY_LEASE_TTL_S
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/leases/_lease.py
+++ b/acaciarill/leases/_lease.py
@@ -72,6 +72,10 @@
 
     `renew_or_acquire` must be called periodically. Time is read from `clock` before each write,
     so a pause of the process can only shorten the validity that it assumes, never extend it.
+
+    A host that has held the lease acquires it from another holder only `return_delay_s` seconds,
+    by default the TTL, after it has last held it, since receivers that do not check epochs tell
+    delayed calls from new ones only by such a distance.
     """
 
     def __init__(
@@ -83,8 +87,10 @@
         may_acquire: Callable[[], bool] = lambda: True,
         on_acquired: Callable[[Lease], Awaitable[None]] | None = None,
         ttl_s: float = LEASE_TTL_S,
+        return_delay_s: float | None = None,
     ) -> None:
         self.ttl_s = ttl_s
+        self.return_delay_s = ttl_s if return_delay_s is None else return_delay_s
         self.key = LEASE_PREFIX + name
         self.name = name
         self.holder = holder
@@ -96,6 +102,9 @@
         self.version = 0
         self._observed_nonce = ""
         self._observed_since = 0.0
+        # An earlier process of this host may have held the lease until now.
+        self._last_held_at = clock()
+        self._delayed_nonce = ""
 
     def is_held(self, epoch: int | None = None) -> bool:
         """Return whether this process holds the lease now and, if given, under this epoch.
@@ -113,7 +122,7 @@
         if self.is_held():
             await self._renew()
             return
-        self.lease = None
+        self._drop()
         if not self.may_acquire():
             return
         stored = await self.store.get(self.key)
@@ -126,25 +135,56 @@
             self._observed_nonce, self._observed_since = record.nonce, now
         unchanged_s = now - self._observed_since
         # A holder of the same name is an earlier process of this host, which has ended.
-        ended = record.released or record.holder == self.holder
-        if ended or unchanged_s >= takeover_delay_s(record.ttl_s):
-            await self._acquire(record.epoch + 1, self.version)
+        was_own = record.holder == self.holder
+        ended = record.released or was_own or unchanged_s >= takeover_delay_s(record.ttl_s)
+        if not ended or (not was_own and self._must_wait_to_return(record, now)):
+            return
+        await self._acquire(record.epoch + 1, self.version, record)
 
     async def release(self) -> None:
         """Release the lease so that a successor can acquire it at once; raise StoreError."""
         if not self.is_held() or self.lease is None:
             return
         epoch = self.lease.epoch
-        self.lease = None
+        self._drop()
         record = LeaseRecord(self.holder, epoch, uuid4().hex, released=True)
         await self.store.put(self.key, record.encode(), self.version)
+        log_message(message_type="lease:released", duty=self.name, epoch=epoch)
 
-    async def _acquire(self, epoch: int, version: int) -> None:
+    def _drop(self) -> None:
+        """Stop holding the lease, and note until when this process may have acted under it."""
+        if self.lease is None:
+            return
+        self._last_held_at = min(self.clock(), self.lease.valid_until)
+        self.lease = None
+
+    def _must_wait_to_return(self, record: LeaseRecord, now: float) -> bool:
+        """Return whether this host may have held the lease too recently to succeed the holder."""
+        wait_s = self._last_held_at + self.return_delay_s - now
+        if wait_s <= 0:
+            return False
+        if record.nonce != self._delayed_nonce:
+            self._delayed_nonce = record.nonce
+            log_message(
+                message_type="lease:return_delayed",
+                duty=self.name,
+                holder=record.holder,
+                wait_s=round(wait_s, 2),
+            )
+        return True
+
+    async def _acquire(self, epoch: int, version: int, former: LeaseRecord | None = None) -> None:
         try:
             await self._write(epoch, version)
         except StoreConflictError:
             return
-        log_message(message_type="lease:acquired", duty=self.name, epoch=epoch)
+        log_message(
+            message_type="lease:acquired",
+            duty=self.name,
+            epoch=epoch,
+            former_holder=former.holder if former is not None else None,
+            was_released=former is not None and former.released,
+        )
         if self.on_acquired is not None and self.lease is not None:
             await self.on_acquired(self.lease)
 
@@ -154,7 +194,7 @@
             await self._write(self.lease.epoch, self.version)
         except StoreConflictError:
             log_message(message_type="lease:lost", duty=self.name, epoch=self.lease.epoch)
-            self.lease = None
+            self._drop()
 
     async def _write(self, epoch: int, version: int) -> None:
         """Write the record; if the response is lost, read the nonce back to see who wrote it."""
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -34,6 +34,8 @@
 
 STDOUT_FD = 1
 EXIT_INVALID_SETTINGS = 2
+DUTY_ARRIVAL_MARGIN_S = 0.3
+"""How much longer one call of a duty may be on its way than the next; receivers note arrivals."""
 SETTINGS_POLL_PERIOD_S = 2.0
 """Period of checking the settings file. Only its seeds may change, and they are only hints: a
 daemon uses them while it knows no other one."""
@@ -92,6 +94,7 @@
         metrics_address=settings.metrics_address,
         max_object_bytes=settings.max_object_bytes,
         memory_bytes=settings.memory_bytes,
+        duty_return_delay_s=settings.duty_turn_s + DUTY_ARRIVAL_MARGIN_S,
     )
 
 
--- a/acaciarill/platform/_settings.py
+++ b/acaciarill/platform/_settings.py
@@ -17,7 +17,8 @@
 
     The process listens at `callers` for clients, at `readiness` for readiness probes and at `peers`
     for other daemons; `store` and `duty_api` are addresses of the platform. `max_object_bytes`
-    limits a stored object, `memory_bytes` the memory of the process.
+    limits a stored object, `memory_bytes` the memory of the process. Holders of a duty must not
+    take turns within `duty_turn_s`.
     """
 
     host: str
@@ -34,6 +35,7 @@
     usage_window_s: float
     batch_retention_s: float
     metrics_address: str
+    duty_turn_s: float
     max_object_bytes: int = DEFAULT_MAX_OBJECT_BYTES
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     data_centres: tuple[str, ...] = field(default=())
@@ -78,6 +80,7 @@
         usage_window_s=float(bounds.get("report_window_s", 5)),
         batch_retention_s=float(bounds.get("status_s", 120)),
         metrics_address=f"{ip}:{METRICS_PORT}",
+        duty_turn_s=float(bounds.get("lease_ms", 3000)) / 1000,
         max_object_bytes=int(raw["provider"].get("value_bytes", DEFAULT_MAX_OBJECT_BYTES)),
         memory_bytes=_memory_bytes(raw.get("limits", {})),
         data_centres=tuple(raw.get("zones", {})),
