Let finished items wait for the route of their scores

Cause: the runner looked up the route of the batch and that of a score with one function, and took the absence of either for the end of the item. Only the end of the batch's own route ends its items.

The log did not say which route; it names the batch's route now, and `item:score_route_missing` the other one.

Why it works: a finished item waits for the route of its score until its queue time has passed, its batch ends or the batch's route is gone. It holds no slot meanwhile.

--- a/acaciarill/batches/_runner.py
+++ b/acaciarill/batches/_runner.py
@@ -107,25 +107,46 @@
         self.stopped = True
         self.scope.cancel()
 
-    async def _route(self, host: str, path: str) -> Route:
-        """Return a route; wait while this daemon's configuration is older than the batch."""
+    def _find_route(self, host: str, path: str) -> Route | None:
+        configuration = self.ports.configuration()
+        return configuration.find_route(host, path) if configuration is not None else None
+
+    def _find_batch_route(self) -> Route | None:
+        return self._find_route(self.head.host, self.head.path)
+
+    async def _batch_route(self) -> Route:
+        """Return the batch's route; wait while the configuration is older than the batch.
+
+        The end of this route is the end of its items, so raise ItemFailedError if it is gone.
+        """
         while True:
-            configuration = self.ports.configuration()
-            route = configuration.find_route(host, path) if configuration is not None else None
+            route = self._find_batch_route()
             if route is not None:
                 return route
+            configuration = self.ports.configuration()
             if configuration is not None and configuration.version >= self.head.configuration:
-                raise ItemFailedError("route is no longer in the configuration")
+                raise ItemFailedError("the batch's route is no longer in the configuration")
             await anyio.sleep(ROUTE_POLL_PERIOD_S)
 
-    def _find_batch_route(self) -> Route | None:
-        configuration = self.ports.configuration()
-        if configuration is None:
-            return None
-        return configuration.find_route(self.head.host, self.head.path)
+    async def _score_route(self, request_id: str, host: str, path: str) -> Route:
+        """Return the route of a scoring request; wait for it until the queue time has passed.
 
-    async def _batch_route(self) -> Route:
-        return await self._route(self.head.host, self.head.path)
+        A text is complete by then, and the next configuration may have the route again.
+        """
+        route = self._find_route(host, path)
+        if route is None:
+            log_message(
+                message_type="item:score_route_missing",
+                batch=self.batch_id,
+                request=request_id,
+                host=host,
+                path=path,
+            )
+        while route is None:
+            await self._check_queue_time()
+            await anyio.sleep(ROUTE_POLL_PERIOD_S)
+            route = self._find_route(host, path)
+        return route
 
     def _exceeds_queue_time(self, route: Route) -> bool:
         if not route.max_queue_s:
@@ -191,7 +212,7 @@
             score = None
             if item.score is not None:
                 score = await score_text(
-                    item.score, self.ports, self._route, self._check_queue_time
+                    item.score, self.ports, self._score_route, self._check_queue_time
                 )
             output = "\n".join(text.events)
             versions = tuple(sorted(text.versions))
--- a/acaciarill/batches/_scoring.py
+++ b/acaciarill/batches/_scoring.py
@@ -10,7 +10,8 @@
 from ._runner_ports import ItemFailedError, RunnerPorts
 from .const import REQUEST_ID_PLACEHOLDER, SCORE_RETRY_DELAY_S, SCORE_TIMEOUT_S
 
-FindRoute = Callable[[str, str], Awaitable[Route]]
+FindRoute = Callable[[str, str, str], Awaitable[Route]]
+"""Return the route of a request by the request's id, host and path."""
 
 
 async def score_text(
@@ -22,7 +23,7 @@
     """Score a finished text; return the stamp of the scorer's response or raise ItemFailedError."""
     errors = 0
     while True:
-        route = await find_route(score.host, score.path)
+        route = await find_route(score.id, score.host, score.path)
         request = ForwardedRequest(
             score.id,
             "POST",
