--- a/acaciarill/platform/_settings.py
+++ b/acaciarill/platform/_settings.py
@@ -10,6 +10,9 @@
 from ..fleet_daemon import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
 from .const import METRICS_PORT, SETTINGS_PATH, SETTINGS_VARIABLE
 
+MS_PER_S = 1000
+DEFAULT_DUTY_TURN_S = 3.0
+
 
 @dataclass(slots=True, frozen=True)
 class PlatformSettings:
@@ -35,10 +38,10 @@
     usage_window_s: float
     batch_retention_s: float
     metrics_address: str
-    duty_turn_s: float
     max_object_bytes: int = DEFAULT_MAX_OBJECT_BYTES
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     data_centres: tuple[str, ...] = field(default=())
+    duty_turn_s: float = DEFAULT_DUTY_TURN_S
 
 
 def settings_path() -> Path:
@@ -80,10 +83,12 @@
         usage_window_s=float(bounds.get("report_window_s", 5)),
         batch_retention_s=float(bounds.get("status_s", 120)),
         metrics_address=f"{ip}:{METRICS_PORT}",
-        duty_turn_s=float(bounds.get("lease_ms", 3000)) / 1000,
         max_object_bytes=int(raw["provider"].get("value_bytes", DEFAULT_MAX_OBJECT_BYTES)),
         memory_bytes=_memory_bytes(raw.get("limits", {})),
         data_centres=tuple(raw.get("zones", {})),
+        duty_turn_s=(
+            bounds["lease_ms"] / MS_PER_S if "lease_ms" in bounds else DEFAULT_DUTY_TURN_S
+        ),
     )
 
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -24,7 +24,7 @@
     parse_event_id,
 )
 from acaciarill.platform._headers import decode_response, encode_attempt
-from acaciarill.platform._settings import load_settings
+from acaciarill.platform._settings import DEFAULT_DUTY_TURN_S, load_settings
 
 CONFIG = {
     "version": 7,
@@ -387,6 +387,11 @@
         loaded = self.load(text)
         self.assertEqual((loaded.max_object_bytes, loaded.memory_bytes), (5000, 300 * 1024 * 1024))
 
+    def test_reads_how_long_holders_of_a_duty_must_not_take_turns(self) -> None:
+        self.assertEqual(self.load(self.TEXT).duty_turn_s, DEFAULT_DUTY_TURN_S)
+        text = self.TEXT.replace("[bounds]", "[bounds]\nlease_ms = 4500")
+        self.assertEqual(self.load(text).duty_turn_s, 4.5)
+
     def test_error_names_missing_field(self) -> None:
         with self.assertRaisesRegex(ConfigError, "provider"):
             self.load(self.TEXT.replace("[provider]", "[other]"))
