Ask for a key as long as the configuration has customers, even without any key

What callers saw: once the last keys of all customers were withdrawn, requests with any key were answered 200 and run by the upstreams (ROUTE, CONFIG).

Cause: the decoder kept the keys and dropped whether customers are configured; the request handler took an empty map of keys for a configuration that asks for none.

The configuration in force was the last one, and keys that no configuration ever held were accepted, without a customer, which rules out a late withdrawal and an old key. `config:applied` now says how many keys a configuration has, null if none is needed.

Why it works: the map of keys is None only if the configuration has no customers at all; an empty one makes no key valid. Batches' reads, bodies and ends go through the same check.

Tests: `test_no_key_is_valid_after_the_last_one_was_withdrawn` and a test of the decoder, both failed before (200 in place of 401; an empty map for a missing field).

--- a/acaciarill/fleet/_model.py
+++ b/acaciarill/fleet/_model.py
@@ -94,14 +94,15 @@
 class Configuration:
     """Hold one accepted version of the configuration.
 
-    `routes` are by host, `services` by name; `customers` maps an API key to its customer.
+    `routes` are by host, `services` by name; `customers` maps an API key to its customer, and is
+    None if requests need no key. An empty map means that no key is valid.
     """
 
     version: int
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
     limits: EdgeLimits
-    customers: dict[str, str]
+    customers: dict[str, str] | None
     customer_priorities: dict[str, int] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/acaciarill/fleet_daemon/_mirrors.py
+++ b/acaciarill/fleet_daemon/_mirrors.py
@@ -121,6 +121,7 @@
             position=follower.mirror.position,
             from_peer=follower.paused,
             unconfirmed_s=round(follower.unconfirmed_for_s(), 2),
+            keys=len(decoded.customers) if decoded.customers is not None else None,
         )
         self.configuration = decoded
         for listener in list(self.configuration_listeners):
--- a/acaciarill/platform/_decode.py
+++ b/acaciarill/platform/_decode.py
@@ -66,7 +66,7 @@
 
 def _decode_configuration(value: dict[str, Any]) -> Configuration:
     limits = value.get("limits") or {}
-    customers = value.get("tenants") or []
+    customers = value.get("tenants")
     return Configuration(
         version=int(value["version"]),
         routes=group_routes_by_host([_decode_route(route) for route in value["routes"]]),
@@ -77,10 +77,14 @@
             header_timeout_s=limits.get("header_timeout_ms", 3000) / MS_PER_S,
             idle_timeout_s=limits.get("idle_timeout_ms", 15000) / MS_PER_S,
         ),
-        customers={key: customer["name"] for customer in customers for key in customer["api_keys"]},
+        customers=(
+            None
+            if customers is None
+            else {key: customer["name"] for customer in customers for key in customer["api_keys"]}
+        ),
         customer_priorities={
             customer["name"]: customer["priority"]
-            for customer in customers
+            for customer in customers or ()
             if "priority" in customer
         },
     )
--- a/acaciarill/platform/_request_handler.py
+++ b/acaciarill/platform/_request_handler.py
@@ -139,13 +139,12 @@
         self, configuration: Configuration, request: Request, route: Route | None
     ) -> str:
         """Return the customer of the API key, empty if none is required; raise NotAllowedError."""
-        if not configuration.customers or (route is not None and route.public):
+        customers = configuration.customers
+        if customers is None or (route is not None and route.public):
             return ""
         authorization = request.get(HEADER_AUTHORIZATION)
         if authorization.lower().startswith(AUTHORIZATION_SCHEME):
-            customer = configuration.customers.get(
-                authorization[len(AUTHORIZATION_SCHEME) :].strip()
-            )
+            customer = customers.get(authorization[len(AUTHORIZATION_SCHEME) :].strip())
             if customer is not None:
                 return customer
         raise NotAllowedError("API key is missing or unknown", step=Step.AUTHENTICATE)
--- a/tests/batches/test_runner.py
+++ b/tests/batches/test_runner.py
@@ -27,7 +27,7 @@
 
 
 def configuration(version: int, *routes: Route) -> Configuration:
-    return Configuration(version, group_routes_by_host(list(routes)), {}, EdgeLimits(), {})
+    return Configuration(version, group_routes_by_host(list(routes)), {}, EdgeLimits(), None)
 
 
 class SingleEngineScheduler:
--- a/tests/batches/test_score_routes.py
+++ b/tests/batches/test_score_routes.py
@@ -34,7 +34,7 @@
 
     def configure(self, batches: RunningBatches, version: int, *routes: Route) -> None:
         batches.configuration = Configuration(
-            version, group_routes_by_host(list(routes)), {}, EdgeLimits(), {}
+            version, group_routes_by_host(list(routes)), {}, EdgeLimits(), None
         )
 
     def start(self, batches: RunningBatches, routes: Sequence[Route]) -> BatchRunner:
--- a/tests/fleet_daemon/test_mirrors.py
+++ b/tests/fleet_daemon/test_mirrors.py
@@ -156,7 +156,7 @@
     def test_open_batch_of_a_route_without_queue_time_is_demand_at_any_age(self) -> None:
         route = Route("r", "h", "/b", RouteKind.BATCH, (("llm", 1.0),), 10.0, 5.0, 2, 0)
         self.mirrors.configuration = Configuration(
-            1, group_routes_by_host([route]), {}, EdgeLimits(), {}
+            1, group_routes_by_host([route]), {}, EdgeLimits(), None
         )
         head = BatchHead("c", "h", "/b/x", 0.0, 12, 1, "d", "f1").encode()
         self.mirrors.mirror("batches").replace(1, [Record("b1", 1, orjson.loads(head))])
--- a/tests/platform/batches.py
+++ b/tests/platform/batches.py
@@ -95,7 +95,7 @@
     def configure(self, route: Route, version: int = 1) -> None:
         """Apply a version of the configuration with one route."""
         self.configuration = Configuration(
-            version, group_routes_by_host([route]), {}, EdgeLimits(), {}
+            version, group_routes_by_host([route]), {}, EdgeLimits(), None
         )
 
     def start(
--- a/tests/platform/raw_fleet.py
+++ b/tests/platform/raw_fleet.py
@@ -153,7 +153,7 @@
             table.states[name].in_flight = i
         sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock)
         configuration = Configuration(
-            1, group_routes_by_host([route, *more_routes]), {}, EdgeLimits(), {}
+            1, group_routes_by_host([route, *more_routes]), {}, EdgeLimits(), None
         )
         members = Members("f1", "f1", "dc", "front", clock)
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -85,6 +85,13 @@
         self.assertIsNone(decoded.find_route("h.example", "/other/"))
         self.assertIsNone(decoded.find_route("other.example", "/a/"))
 
+    def test_no_key_is_valid_without_keys_and_none_is_needed_without_customers(self) -> None:
+        for customers, expected in (([{"name": "t1", "api_keys": []}], {}), ([], {}), (None, None)):
+            stored = Record("main", 5, CONFIG | {"tenants": customers})
+            self.assertEqual(decode_configuration({"main": stored}).customers, expected)
+        value = {name: field for name, field in CONFIG.items() if name != "tenants"}
+        self.assertIsNone(decode_configuration({"main": Record("main", 5, value)}).customers)
+
     def test_malformed_or_missing_configuration_returns_none(self) -> None:
         broken = CONFIG | {"routes": [{"name": "r"}]}
         self.assertIsNone(decode_configuration({"main": Record("main", 6, broken)}))
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -184,6 +184,7 @@
             address = fleet.daemons["f1"].settings.metrics_address
             arguments = ["--daemon", f"http://{address}", "fleet-status", "--json"]
             run = await anyio.to_thread.run_sync(lambda: CliRunner().invoke(main, arguments))
+            self.assertEqual(run.exit_code, 0, run.output)
             status = orjson.loads(run.output)
             self.assertEqual((status["host"], status["configuration"]), ("f1", 1))
             self.assertTrue(status["ready"])
@@ -211,6 +212,39 @@
                 await wait_until(lambda name=name: fleet.daemons[name].configuration.version == 2)
                 self.assertEqual((await fleet.call(name, "POST", "/p/1")).head.status, 401)
 
+    # review/6: the withdrawal of the last key of all customers opened every route to everybody.
+    async def test_no_key_is_valid_after_the_last_one_was_withdrawn(self) -> None:
+        async with self.run_fleet() as fleet:
+            response = await fleet.call("f1", "POST", "/b/x", submission(2), id="batch-1")
+            self.assertEqual(response.head.status, 202)
+            await fleet.read_results("f1", "batch-1", 2)
+            without_keys = configuration(2)
+            for tenant in without_keys["tenants"]:
+                tenant["api_keys"] = []
+            without_tenants = configuration(3) | {"tenants": []}
+            for withdrawn in (without_keys, without_tenants):
+                fleet.store.put("config", "main", withdrawn)
+                version = withdrawn["version"]
+                for name in ("f1", "f2"):
+                    daemon = fleet.daemons[name]
+                    await wait_until(lambda d=daemon, v=version: d.configuration.version == v)
+                    for method, target in (
+                        ("POST", "/p/1"),
+                        ("GET", "/g/1"),
+                        ("POST", "/b/x"),
+                        ("GET", "/lots/batch-1"),
+                        ("GET", "/items/batch-1?id=i0"),
+                        ("DELETE", "/lots/batch-1"),
+                    ):
+                        for key in ("key-1", "unknown"):
+                            response = await fleet.call(name, method, target, key=key)
+                            self.assertEqual(response.head.status, 401, (target, key))
+            fleet.store.put("config", "main", configuration(4))
+            front = fleet.daemons["f1"]
+            await wait_until(lambda: front.configuration.version == 4)
+            self.assertEqual((await fleet.call("f1", "POST", "/p/1")).head.status, 200)
+            self.assertEqual(len(await fleet.read_results("f1", "batch-1", 2)), 2)
+
     async def test_resubmitted_batch_runs_once_and_is_readable_at_every_daemon(self) -> None:
         async with self.run_fleet() as fleet:
             body = submission(6)
