Do not take the end of an aborted connection for the end of a response

What callers saw: when a front lost its links to the upstreams, streams whose responses have no length were ended as complete after 6 of 20 events, with status 200 and the upstream's proof (ORDER).

Cause: an exchange that is given up shuts its own socket down. The reader gets that as the end of the stream, which completes a body without a length. Whether the exchange had been aborted was asked only where the end came as an error.

The streams end 0.7 s after `links:lost`, at the moment at which streams with a framing are broken off; the upstreams go on and the cut connections carry no end, which rules both out.

Why it works: the end of the stream counts as the peer's only if the exchange was not aborted; else reading raises an error before the parser sees an end, and the request goes on elsewhere.

--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -37,6 +37,7 @@
 """Code of the error for a connection that ended before the response was complete."""
 CONNECTION_REFUSED = "connection-refused"
 """Code of the error for an address at which no process listens."""
+ABORTED = "connection was given up before the response was complete"
 CLOSED_EARLY = "connection was closed before the response was complete"
 
 _CONNECTION_ERRORS = (
@@ -117,20 +118,23 @@
                 event = protocol.next_event()
             except h11.RemoteProtocolError as error:
                 if closed:
-                    code = None if self.is_aborted else CONNECTION_LOST
-                    raise self.build_error(CLOSED_EARLY, Step.RECEIVE, code) from error
+                    raise self.build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST) from error
                 raise self.build_error("response is malformed", Step.RECEIVE) from error
             if event is not h11.NEED_DATA:
                 return event
             try:
                 data = await self.connection.stream.receive(READ_CHUNK_BYTES)
-            except anyio.EndOfStream:
+            except anyio.EndOfStream as error:
+                if self.is_aborted:  # not the peer's end, which may complete a response
+                    raise self.build_error(ABORTED, Step.RECEIVE) from error
                 data = b""
             except _CONNECTION_ERRORS as error:
+                if self.is_aborted:
+                    raise self.build_error(ABORTED, Step.RECEIVE) from error
                 raise self.build_error(
                     "connection was lost before the response was complete",
                     Step.RECEIVE,
-                    None if self.is_aborted else CONNECTION_LOST,
+                    CONNECTION_LOST,
                 ) from error
             closed = not data
             if data and self.on_receive is not None:
--- a/tests/platform/raw_fleet.py
+++ b/tests/platform/raw_fleet.py
@@ -20,6 +20,7 @@
     Upstream,
     UpstreamTable,
 )
+from acaciarill.fleet._attempts import LinkMonitor
 from acaciarill.fleet._model import group_routes_by_host
 from acaciarill.platform._headers import UPSTREAM_CODEC
 from acaciarill.platform._request_handler import RequestHandler
@@ -134,7 +135,10 @@
 
 @asynccontextmanager
 async def raw_fleet(
-    route: Route, *answers: Answer, more_routes: tuple[Route, ...] = ()
+    route: Route,
+    *answers: Answer,
+    more_routes: tuple[Route, ...] = (),
+    links: LinkMonitor | None = None,
 ) -> AsyncIterator[RawFleet]:
     """Run a daemon's edge with one upstream for each answer; they are chosen in their order."""
     clock = anyio.current_time
@@ -151,7 +155,7 @@
         )
         for i, name in enumerate(sorted(table.states)):
             table.states[name].in_flight = i
-        sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock)
+        sender = AttemptSender(HttpPool(clock), UPSTREAM_CODEC, clock, links=links)
         configuration = Configuration(
             1, group_routes_by_host([route, *more_routes]), {}, EdgeLimits(), None
         )
