Reject responses whose status HTTP does not define

Other operators reported a status of 000 that reached a client as an answer. Here 000 and all below 200 were errors already (tested now); 600 to 999 were taken as answers, with the upstream's proof, and a relaying daemon's head was a plain number that nobody checked.

The client of upstreams and the head that a relay passes on accept 200 to 599 only. Anything else is an error of the upstream, which may have run the request: one that may repeat goes on elsewhere, one that may not ends as unknown (502 or 504), an item or a score is tried again, a duty's call raises an error.

--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -1,6 +1,6 @@
 """Provide an HTTP/1.1 server and client that control each connection themselves."""
 
-from ._checks import check_event_size, check_request
+from ._checks import check_event_size, check_request, is_final_status
 from ._client import (
     CONNECTION_LOST,
     CONNECTION_REFUSED,
@@ -25,4 +25,5 @@
     "Responder",
     "check_event_size",
     "check_request",
+    "is_final_status",
 ]
--- a/acaciarill/edge/_checks.py
+++ b/acaciarill/edge/_checks.py
@@ -6,7 +6,13 @@
 
 from ..errors import Outcome, Step, UpstreamError
 from ..numerals import parse_natural
-from .const import DEFAULT_IDLE_REUSE_S, IDLE_REUSE_MARGIN_S, MAX_EVENT_BYTES
+from .const import (
+    DEFAULT_IDLE_REUSE_S,
+    IDLE_REUSE_MARGIN_S,
+    MAX_EVENT_BYTES,
+    MAX_STATUS,
+    MIN_FINAL_STATUS,
+)
 
 
 def check_request(target: str, headers: Sequence[tuple[bytes, bytes]]) -> None:
@@ -17,6 +23,11 @@
         raise ValueError(f"request cannot be sent: {error}") from error
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status is one that a final response may have."""
+    return MIN_FINAL_STATUS <= status <= MAX_STATUS
+
+
 def check_event_size(partial_event: bytes) -> None:
     """Raise UpstreamError if the incomplete event at the end of a stream is too long."""
     if len(partial_event) > MAX_EVENT_BYTES:
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -16,7 +16,7 @@
 
 from ..addresses import check_address, split_address
 from ..errors import Outcome, Step, UpstreamError
-from ._checks import idle_reuse_s
+from ._checks import idle_reuse_s, is_final_status
 from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
 from .const import (
     CONNECT_TIMEOUT_S,
@@ -159,6 +159,10 @@
         for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if not is_final_status(event.status_code):
+                    raise self.build_error(
+                        f"response has the invalid status {event.status_code}", Step.RECEIVE
+                    )
                 self.head = ResponseHead(event.status_code, list(event.headers))
                 return self.head
             if isinstance(event, h11.InformationalResponse):
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -24,6 +24,10 @@
 MAX_EVENT_BYTES = 256 * 1024
 """Limit of the bytes of a stream that are buffered until the end of an event."""
 
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+"""Statuses beyond are not defined by HTTP; a peer that sends one is at fault."""
+
 IDLE_REUSE_MARGIN_S = 1.0
 """Margin before the idle timeout that a peer announces, in which its connection is not reused."""
 
--- a/acaciarill/relays/_client.py
+++ b/acaciarill/relays/_client.py
@@ -12,7 +12,7 @@
 from eliot import log_message
 
 from ..addresses import split_address
-from ..edge import BodyReader, ResponseBuffers, ResponseHead
+from ..edge import BodyReader, ResponseBuffers, ResponseHead, is_final_status
 from ..errors import AcaciarillError, Outcome, PeerError, Step, UpstreamError
 from ..fleet import RELAY_CUT_OFF, ROLE_FRONT, EncodedRequest, Members
 from ..peers import CONNECTION_ERRORS, FrameStream, messages
@@ -73,6 +73,9 @@
         head = (await self.read_frame()).forward_head
         if head is None:
             raise self.build_error("relaying daemon sent no head", Step.FORWARD)
+        if not is_final_status(head.status):
+            # Builds before this check pass such a status on; the upstream is at fault.
+            raise self.build_error(f"response has the invalid status {head.status}", Step.RECEIVE)
         return ResponseHead(head.status, [(h.name, h.value) for h in head.headers or []])
 
     async def chunks(self) -> AsyncIterator[bytes]:
