Bound what a faulty upstream can make a daemon keep and parse at once

Other operators reported bytes without end, in a head or a body, that a machine kept until it ran out of memory, and with it the requests of its other clients.

The reader lets others run after 64 parts.

On a related path, the product's own client read load reports, scores and answers to cancellations whole, without a limit; they end at 16 MB. It also rejects statuses that HTTP does not define.

--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -20,6 +20,7 @@
 from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
 from .const import (
     CONNECT_TIMEOUT_S,
+    MAX_EVENTS_WITHOUT_PAUSE,
     MAX_INLINE_REQUEST_BYTES,
     MAX_INTERIM_HEADS,
     MAX_RECENT_REQUEST_IDS,
@@ -93,6 +94,7 @@
         self.send_started = False
         self.is_aborted = False
         self.head: ResponseHead | None = None
+        self.events_without_pause = 0
 
     def build_error(self, message: str, step: Step, code: str | None = None) -> UpstreamError:
         outcome = Outcome.UNKNOWN if self.send_started else Outcome.NOT_RUN
@@ -121,7 +123,12 @@
                     raise self.build_error(CLOSED_EARLY, Step.RECEIVE, CONNECTION_LOST) from error
                 raise self.build_error("response is malformed", Step.RECEIVE) from error
             if event is not h11.NEED_DATA:
+                self.events_without_pause += 1
+                if self.events_without_pause >= MAX_EVENTS_WITHOUT_PAUSE:
+                    self.events_without_pause = 0
+                    await anyio.lowlevel.checkpoint()
                 return event
+            self.events_without_pause = 0
             try:
                 data = await self.connection.stream.receive(READ_CHUNK_BYTES)
             except anyio.EndOfStream as error:
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -1,6 +1,9 @@
 """Define the limits and timeouts of HTTP connections."""
 
 READ_CHUNK_BYTES = 64 * 1024
+MAX_EVENTS_WITHOUT_PAUSE = 64
+"""How many parts of a response are parsed before other tasks run. A read may bring 10,000 chunks of
+one byte, and other requests must not wait for them all."""
 
 CONNECT_TIMEOUT_S = 0.4
 """Upstreams are at most some tens of ms away, and a lost SYN is only retransmitted after 1 s."""
--- a/acaciarill/upstreams/_client.py
+++ b/acaciarill/upstreams/_client.py
@@ -8,8 +8,10 @@
 
 from ..config import Upstream
 from ..const import HEADER_OUTCOME, HEADER_REQUEST_ID, HEADER_TRACE_PARENT
+from ..edge import is_final_status
 from ..errors import Outcome, Step, UpstreamError
 from ..numerals import parse_natural
+from ._limited_transport import LimitedTransport
 from ._messages import Headers, UpstreamRequest, UpstreamResponse
 from .const import (
     CANCEL_TIMEOUT_S,
@@ -18,6 +20,7 @@
     HOP_BY_HOP_HEADERS,
     KEEPALIVE_EXPIRY_S,
     MAX_CONNECTIONS_PER_POOL,
+    MAX_CONTROL_RESPONSE_BYTES,
     MAX_IDLE_CONNECTIONS_PER_POOL,
 )
 
@@ -42,8 +45,9 @@
     """Send requests over one connection pool per upstream address.
 
     httpcore scans every connection of a pool, and every pair of them, whenever a request starts
-    or ends, so small pools keep that cost low. `control_http` calls the platform and reads load
-    reports; `control_bytes` counts its traffic.
+    or ends, so small pools keep that cost low. `control_http` calls the platform, reads load
+    reports and cancels attempts, and limits the responses, which it reads whole; `control_bytes`
+    counts its traffic.
     """
 
     def __init__(self) -> None:
@@ -54,13 +58,21 @@
         )
         self.tls = ssl.create_default_context()
         self.control_bytes = 0
-        self.control_http = self._new_client()
+        self.control_http = self._new_client(
+            LimitedTransport(
+                MAX_CONTROL_RESPONSE_BYTES, limits=self.limits, trust_env=False, verify=self.tls
+            )
+        )
         self.control_http.event_hooks = {"response": [self._count_control_bytes]}
         self.pools: dict[str, httpx.AsyncClient] = {}
 
-    def _new_client(self) -> httpx.AsyncClient:
+    def _new_client(self, transport: httpx.AsyncBaseTransport | None = None) -> httpx.AsyncClient:
         client = httpx.AsyncClient(
-            limits=self.limits, timeout=None, trust_env=False, verify=self.tls
+            limits=self.limits,
+            timeout=None,
+            trust_env=False,
+            verify=self.tls,
+            transport=transport,
         )
         client.headers.clear()
         return client
@@ -93,7 +105,7 @@
         body = orjson.dumps({"request_id": attempt_id})
         url = f"http://{upstream.address}/cancel"
         with suppress(httpx.HTTPError):
-            await self._pool(upstream.address).post(url, content=body, timeout=CANCEL_TIMEOUT_S)
+            await self.control_http.post(url, content=body, timeout=CANCEL_TIMEOUT_S)
 
     async def send(
         self, upstream: Upstream, request: UpstreamRequest, attempt_id: str, timeout_s: float
@@ -132,6 +144,13 @@
             raise UpstreamError(
                 "the upstream sent no response", step=Step.RECEIVE, peer=upstream.name
             ) from error
+        if not is_final_status(response.status_code):
+            await response.aclose()
+            raise UpstreamError(
+                f"the response has the invalid status {response.status_code}",
+                step=Step.RECEIVE,
+                peer=upstream.name,
+            )
         if response.headers.get(HEADER_REQUEST_ID, attempt_id) != attempt_id:
             await response.aclose()
             raise UpstreamError(
--- a/acaciarill/upstreams/const.py
+++ b/acaciarill/upstreams/const.py
@@ -2,6 +2,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
+MAX_CONTROL_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Limit of a response that is read whole: reports, scores, listings of the platform."""
 LOAD_POLL_PERIOD_S = 2.0
 LOAD_POLL_TIMEOUT_S = 1.0
 POLLERS_PER_UPSTREAM = 2
--- a/tests/fakes/raw_upstream.py
+++ b/tests/fakes/raw_upstream.py
@@ -25,10 +25,14 @@
 
 @dataclass(slots=True)
 class RawAnswer:
-    """Hold the bytes to send after a request, and what happens then."""
+    """Hold the bytes to send after a request, and what happens then.
+
+    `repeated` follows the data without end, until the caller closes.
+    """
 
     data: bytes
     then: Then = Then.KEEP
+    repeated: bytes = b""
 
 
 @dataclass(slots=True)
@@ -48,6 +52,7 @@
         self.address = f"127.0.0.1:{free_port()}"
         self.requests: list[RawRequest] = []
         self.connection_count = 0
+        self.repeated_bytes = 0
 
     async def start(self, task_group: anyio.abc.TaskGroup) -> None:
         """Serve until the task group ends."""
@@ -82,6 +87,9 @@
                 answer = self.answer(request)
                 try:
                     await stream.send(answer.data)
+                    while answer.repeated:
+                        await stream.send(answer.repeated)
+                        self.repeated_bytes += len(answer.repeated)
                 except anyio.BrokenResourceError:
                     return
                 if answer.then is Then.HOLD:
