--- a/acaciarill/batches/_model.py
+++ b/acaciarill/batches/_model.py
@@ -6,6 +6,8 @@
 
 import orjson
 
+from ..stored_forms import build_record
+
 FIRST_EPOCH = 1
 """Epoch of a batch under its first owner; each change of owner adds 1."""
 
@@ -76,8 +78,8 @@
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "BatchHead":
-        """Create a head from its decoded JSON; raise TypeError if it has other fields."""
-        return cls(**value)
+        """Create a head from its decoded JSON; raise TypeError if a field is missing."""
+        return build_record(cls, value)
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/capacity/_orders.py
+++ b/acaciarill/capacity/_orders.py
@@ -11,6 +11,7 @@
 from ..errors import LeaseLostError, Step
 from ..leases import Lease
 from ..object_store import ObjectStore
+from ..stored_forms import build_record
 from ..upstreams import OrderSender
 from ._plan import Demand, Plan, plan_target
 from .const import INTENT_PREFIX
@@ -56,7 +57,9 @@
         if stored is None:
             return
         intent = orjson.loads(stored[0])
-        self.plans = {target: Plan(**counts) for target, counts in intent["counts"].items()}
+        self.plans = {
+            target: build_record(Plan, counts) for target, counts in intent["counts"].items()
+        }
         await self._send(intent, lease)
 
     async def run_once(self, lease: Lease) -> None:
--- a/acaciarill/config/_acceptance.py
+++ b/acaciarill/config/_acceptance.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from ..errors import AcaciarillError, ConfigError, Outcome, Step, StoreConflictError, StoreError
+from ..stored_forms import build_record
 from ._document import check_sections, section_bytes, section_digest
 from ._model import Document
 from .const import (
@@ -66,7 +67,7 @@
     def decode(cls, data: bytes) -> "ConfigHead":
         """Return the head that is encoded as JSON in `data`."""
         raw = orjson.loads(data)
-        changes = [ConfigChange(**change) for change in raw["changes"]]
+        changes = [build_record(ConfigChange, change) for change in raw["changes"]]
         return cls(raw["revision"], raw["digests"], changes)
 
     def find_change(self, change_id: str) -> ConfigChange | None:
--- a/acaciarill/leases/_lease.py
+++ b/acaciarill/leases/_lease.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from ..errors import Step, StoreConflictError, StoreError
+from ..stored_forms import build_record
 from .const import LEASE_CLOCK_DRIFT_RATIO, LEASE_PREFIX, LEASE_SAFETY_MARGIN_S, LEASE_TTL_S
 
 
@@ -42,7 +43,7 @@
     @classmethod
     def decode(cls, data: bytes) -> "LeaseRecord":
         """Read a record from JSON."""
-        return cls(**orjson.loads(data))
+        return build_record(cls, orjson.loads(data))
 
 
 @dataclass(slots=True)
--- a/acaciarill/usage/_sealing.py
+++ b/acaciarill/usage/_sealing.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from ..stored_forms import build_record
 from ._counter import UsageCounts
 
 CoveredCounts = dict[str, dict[str, list[int]]]
@@ -31,7 +32,7 @@
     @classmethod
     def decode(cls, data: bytes) -> "SealedWindow":
         """Return the sealed window that JSON `data` describes."""
-        return cls(**orjson.loads(data))
+        return build_record(cls, orjson.loads(data))
 
     def customers(self) -> list[str]:
         """Return the customers with counts or corrections in this window."""
--- a/acaciarill/usage/_shards.py
+++ b/acaciarill/usage/_shards.py
@@ -11,6 +11,7 @@
 from ..errors import AcaciarillError, StoreConflictError
 from ..object_store import ObjectStore
 from ..peers import PeerLinks, messages
+from ..stored_forms import build_record
 from ._counter import ShardKey, UsageCounter, UsageCounts
 from .const import COPIES_PER_SHARD, COPY_FLUSH_DELAY_SHARE, SHARD_PREFIX
 
@@ -128,4 +129,7 @@
 
 def decode_shard(data: bytes) -> dict[str, UsageCounts]:
     """Return the counts by customer of a stored shard."""
-    return {customer: UsageCounts(**counts) for customer, counts in orjson.loads(data).items()}
+    return {
+        customer: build_record(UsageCounts, counts)
+        for customer, counts in orjson.loads(data).items()
+    }
