Keep open batches whatever their age, and ended ones as long as the settings say

A batch was deleted 150 s after its submission, also while it was open (LOST: its results and bodies are owed while it is), and `status_s` of the settings was read and used nowhere.

A batch is deleted only once it has been ended: `status_s` and 30 s after its submission, and 30 s after its end at the least. So that batches that nobody ends do not fill the owner's memory, the results of an open batch that are all there are read from the store once it is that old.

The deletion of an open batch, and of an ended one before `status_s` of more than 120 s, is what the code before does at 150 s, whatever the age given.

--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -18,7 +18,13 @@
 from ._runner import BatchRunner
 from ._runner_ports import RunnerPorts
 from ._texts import BatchTexts, TextCache, TextLimits
-from .const import BATCH_RETENTION_S, KIND_HEADS, KIND_TEXTS, RUN_RETRY_DELAY_S
+from .const import (
+    DEFAULT_RETENTION_S,
+    KIND_HEADS,
+    KIND_TEXTS,
+    RETENTION_MARGIN_S,
+    RUN_RETRY_DELAY_S,
+)
 
 SendBatch = Callable[[str, str, Record, bytes, bytes], Awaitable[None]]
 """Send a batch to its owner: owner, batch id, head, submitted bytes, encoded unfinished texts."""
@@ -41,11 +47,23 @@
 class BatchManager:
     """Run the batches that this daemon owns; any daemon can accept and read any batch.
 
-    `runnable_ids` are the batches that this process accepted, received or tried to claim, and
-    `taken_over_ids` those of them that another daemon owned before the claim.
+    An open batch is kept, whatever its age; one that has been ended is deleted `retention_s` and a
+    margin after its submission.
+
+    `runnable_ids` are the batches that this process accepted, received or tried to claim,
+    `taken_over_ids` those of them that another daemon owned before the claim, and `released_ids`
+    those that it owns without a runner, as all their items have results.
     """
 
-    def __init__(self, name: str, mirror: Mirror, ports: BatchPorts) -> None:
+    def __init__(
+        self,
+        name: str,
+        mirror: Mirror,
+        ports: BatchPorts,
+        retention_s: float = DEFAULT_RETENTION_S,
+    ) -> None:
+        self.retention_s = retention_s
+        self.ended_at: dict[str, float] = {}
         self.name = name
         self.mirror = mirror
         self.ports = ports
@@ -53,6 +71,7 @@
         self.claiming_ids: set[str] = set()
         self.taken_over_ids: set[str] = set()
         self.runnable_ids: set[str] = set()
+        self.released_ids: set[str] = set()
         self.texts = TextCache(ports.text_limits)
         self.draining = False
         self.heads = BatchHeadStore(mirror, ports.store, ports.decode_submission)
@@ -125,6 +144,7 @@
             if (
                 can_start
                 and batch_id not in self.runners
+                and batch_id not in self.released_ids
                 and head.owner == self.name
                 and not head.ended
                 and not self.draining
@@ -165,13 +185,35 @@
         if self.draining:
             return
         now = self.ports.runner.wall_clock()
+        for batch_id in self.ended_at.keys() - self.mirror.records.keys():
+            del self.ended_at[batch_id]
+        self.released_ids &= self.mirror.records.keys()
         for batch_id, record in list(self.mirror.records.items()):
             head = BatchHead.from_value(record.value)
-            if now > head.submitted_at + BATCH_RETENTION_S:
+            if self._is_expired(batch_id, head, now):
                 await self._delete(batch_id, head)
-            elif not head.ended and batch_id not in self.runners and self._should_claim(head):
+            elif not head.ended and batch_id in self.runners:
+                self._release_finished(batch_id, head, now)
+            elif not head.ended and batch_id not in self.released_ids and self._should_claim(head):
                 await self._claim(batch_id, record, head)
 
+    def _is_expired(self, batch_id: str, head: BatchHead, now: float) -> bool:
+        """Return whether a batch may be deleted; note when it was first seen ended."""
+        if not head.ended:
+            return False
+        ended_at = self.ended_at.setdefault(batch_id, now)
+        kept_until = max(head.submitted_at + self.retention_s, ended_at)
+        return now > kept_until + RETENTION_MARGIN_S
+
+    def _release_finished(self, batch_id: str, head: BatchHead, now: float) -> None:
+        """Drop the results of an old open batch from memory; they are read from the store then."""
+        log = self.runners[batch_id].log
+        is_finished = log.loaded and len(log.results) >= head.total
+        if is_finished and now > head.submitted_at + self.retention_s:
+            log_message(message_type="batch:released", batch=batch_id, results=len(log.results))
+            self.released_ids.add(batch_id)
+            del self.runners[batch_id]
+
     def _should_claim(self, head: BatchHead) -> bool:
         if head.owner == self.name:
             return True  # an earlier process of this daemon owned it
@@ -212,6 +254,7 @@
             for index in range(head.parts):
                 await self.ports.store.delete(part_key(batch_id, head.digest, index))
             await self.ports.store.delete(f"{KIND_HEADS}/{batch_id}")
+            log_message(message_type="batch:deleted", batch=batch_id)
             self.taken_over_ids.discard(batch_id)
             self.runnable_ids.discard(batch_id)
         except StoreError as error:
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -77,8 +77,10 @@
 SCORE_RETRY_DELAY_S = 0.3
 
 CLAIM_PERIOD_S = 0.5
-BATCH_RETENTION_S = 150.0
-"""Batches are deleted this long after their submission; they are read for up to 120 s."""
+DEFAULT_RETENTION_S = 120.0
+RETENTION_MARGIN_S = 30.0
+"""How much longer than promised an ended batch is kept, as clocks differ; also how long it is kept
+after its end at the least, so that whoever has ended it can still read it."""
 MAX_CACHED_BATCHES = 32
 """Limit of cached submissions, and of cached logs that were read from the store."""
 
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -259,6 +259,7 @@
                     self.settings.max_object_bytes, self.settings.memory_bytes
                 ),
             ),
+            self.settings.batch_retention_s,
         )
         self.metrics.watch_texts(self.batch_manager.texts)
         self.peers.batch_manager = self.batch_manager
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..batches import EventParser, ObjectAccess, Submission
+from ..batches.const import DEFAULT_RETENTION_S
 from ..control import OrderOutcome
 from ..edge import Request, Responder
 from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
@@ -23,7 +24,8 @@
 
     `max_object_bytes` is the store's limit of one object, `memory_bytes` that of the process.
     `duty_return_delay_s` is how long after it has last acted for a duty a daemon does not succeed
-    another holder of that duty.
+    another holder of that duty. `batch_retention_s` is how long after their submission the results
+    of batches that have been ended can still be read.
     """
 
     host: str
@@ -40,6 +42,7 @@
     max_object_bytes: int = DEFAULT_MAX_OBJECT_BYTES
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     duty_return_delay_s: float = DUTY_LEASE_TTL_S
+    batch_retention_s: float = DEFAULT_RETENTION_S
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -94,6 +94,7 @@
         metrics_address=settings.metrics_address,
         max_object_bytes=settings.max_object_bytes,
         memory_bytes=settings.memory_bytes,
+        batch_retention_s=settings.batch_retention_s,
         duty_return_delay_s=settings.duty_turn_s + DUTY_ARRIVAL_MARGIN_S,
     )
 
