Apply new limits to kept connections, and bound what a client sends beside its own request

DENIED: a kept connection had the limits of the configuration in force when it was opened, so after a version with larger ones proper requests got 413. The limits are taken anew when the first byte of a request arrives.

It reads up to the limit of a head now; the rest waits in the kernel.

--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -200,9 +200,7 @@
         self.server = server
         self.stream = stream
         self.limits = server.limits()
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes + READ_CHUNK_BYTES
-        )
+        self.protocol = _new_protocol(self.limits)
         self.idle_scope: anyio.CancelScope | None = None
         self.handler_scope: anyio.CancelScope | None = None
         self.must_abort = False
@@ -270,10 +268,17 @@
             self.must_abort = True  # a client must not take a truncated response for a complete one
 
     async def _cancel_on_disconnect(self, scope: anyio.CancelScope) -> None:
-        """Cancel the handler if the client disconnects; buffer the bytes of pipelined requests."""
+        """Cancel the handler if the client disconnects; buffer the bytes of pipelined requests.
+
+        What goes beyond the limit of a head is read after the response, so that a client cannot
+        fill the memory meanwhile; its disconnection is then noticed only when the response is sent.
+        """
+        buffered_bytes = 0
         try:
-            while True:
-                self.protocol.receive_data(await self.stream.receive(READ_CHUNK_BYTES))
+            while buffered_bytes <= self.limits.max_header_bytes:
+                data = await self.stream.receive(READ_CHUNK_BYTES)
+                buffered_bytes += len(data)
+                self.protocol.receive_data(data)
         except _CONNECTION_ERRORS:
             self.must_abort = True
             scope.cancel()
@@ -324,6 +329,7 @@
             self.idle_scope = None
             if scope.cancelled_caught or not data:
                 return None
+            limits = self._apply_current_limits()
             self.protocol.receive_data(data)
             event = self.protocol.next_event()
         started_at = time.monotonic()
@@ -348,6 +354,14 @@
             raise _RequestRejectedError(431)
         return event
 
+    def _apply_current_limits(self) -> EdgeLimits:
+        """Apply the limits that are in force, before the first byte of a request is parsed."""
+        limits = self.server.limits()
+        if limits != self.limits:
+            self.limits = limits
+            self.protocol = _new_protocol(limits)
+        return limits
+
     async def _read_body(self, headers_by_name: dict[bytes, bytes]) -> bytes:
         limits = self.limits
         content_length = headers_by_name.get(b"content-length", b"0")
@@ -392,3 +406,9 @@
         data += self.protocol.send(h11.EndOfMessage()) or b""
         await self.stream.send(data)
         log_message(message_type="edge:rejected", status=status)
+
+
+def _new_protocol(limits: EdgeLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes + READ_CHUNK_BYTES
+    )
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -1,6 +1,7 @@
 """Test the HTTP server: limits, framing, persistent connections and disconnecting clients."""
 
 import unittest
+from dataclasses import replace
 
 import anyio
 
@@ -79,6 +80,57 @@
         self.assertIn(b" 413 ", await self.exchange(chunked_head + b"50\r\n" + b"x" * 80 + b"\r\n"))
         self.assertEqual(self.requests, [])
 
+    # Found by the review (REPORT-2): a kept connection had the limits of when it was opened.
+    async def test_kept_connection_follows_the_limits(self) -> None:
+        current = [LIMITS]
+        port = free_port()
+        server = EdgeServer(
+            f"127.0.0.1:{port}", self.handle, anyio.current_time, lambda: current[0]
+        )
+        large_body = LIMITS.max_body_bytes + 1
+        fields = b"X: " + b"y" * 500 + b"\r\n"
+        small = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+        large = b"POST /a HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            fields,
+            large_body,
+            b"x" * large_body,
+        )
+        raised = replace(LIMITS, max_body_bytes=large_body, max_header_bytes=2000)
+        statuses = []
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                for limits, request in ((LIMITS, small), (raised, large), (LIMITS, large)):
+                    current[0] = limits
+                    await stream.send(request)
+                    statuses.append((await stream.receive()).split()[1])
+            tasks.cancel_scope.cancel()
+        self.assertEqual(statuses, [b"200", b"200", b"431"])
+
+    # On the path of other operators' report of bytes without end: these came from a client.
+    async def test_bytes_without_end_beside_a_request_are_not_kept(self) -> None:
+        port = free_port()
+        finished = anyio.Event()
+
+        async def handle(request: Request, responder: Responder) -> None:
+            await finished.wait()
+            await responder.send_response(200, [], b"answer")
+
+        server = EdgeServer(f"127.0.0.1:{port}", handle, anyio.current_time, lambda: LIMITS)
+        sent_bytes = 0
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+                with anyio.move_on_after(2.0):
+                    while sent_bytes < 64 * 1024 * 1024:
+                        await stream.send(b"x" * 0x10000)
+                        sent_bytes += 0x10000
+                finished.set()
+                self.assertIn(b"HTTP/1.1 200", await stream.receive())
+            tasks.cancel_scope.cancel()
+        self.assertLess(sent_bytes, 32 * 1024 * 1024)  # what the kernel's buffers hold
+
     async def test_slow_headers_time_out(self) -> None:
         received = await self.exchange(b"GET /a HTT", b"P/1.1\r", b"\nHo", b"st", b": h", b"x")
         self.assertIn(b" 408 ", received)
