Go on accepting connections after errors that pass

Errors of accept that pass are logged, and the server accepts again after 0.2 s; others still end it.

--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -12,6 +12,7 @@
 from eliot import log_message
 
 from ..addresses import split_address
+from ..listening import serve_connections
 from ..numerals import parse_natural
 from .const import (
     CLOSE_LINGER_S,
@@ -152,7 +153,7 @@
         async with anyio.create_task_group() as tasks:
             with self._listener_scope:
                 async with listener:
-                    await listener.serve(self._serve_connection, tasks)
+                    await serve_connections(listener, self._serve_connection, tasks)
 
     def stop_accepting(self) -> None:
         """Close the listener; open connections stay in use."""
--- /dev/null
+++ b/acaciarill/listening.py
@@ -0,0 +1,46 @@
+"""Accept connections as long as the process runs."""
+
+import errno
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+from eliot import log_message
+
+ACCEPT_RETRY_DELAY_S = 0.2
+TEMPORARY_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED}
+)
+"""Errors of accept that pass: no descriptor or buffer is free, or the client is gone already."""
+
+
+async def serve_connections(
+    listener: anyio.abc.Listener[Any],
+    handler: Callable[[Any], Awaitable[None]],
+    task_group: anyio.abc.TaskGroup,
+) -> None:
+    """Serve a listener in a task group; go on accepting after temporary errors."""
+    while True:
+        failed = None
+        try:
+            await listener.serve(handler, task_group)
+        except* OSError as group:
+            failed = group
+        if failed is None:
+            return
+        if any(error.errno not in TEMPORARY_ERRORS for error in _flatten(failed)):
+            raise failed
+        log_message(
+            message_type="listener:accept_failed",
+            reason=str(_flatten(failed)[0]),
+            action=f"accept again in {ACCEPT_RETRY_DELAY_S} s",
+        )
+        await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+
+
+def _flatten(group: BaseExceptionGroup[OSError]) -> list[OSError]:
+    errors: list[OSError] = []
+    for error in group.exceptions:
+        errors += _flatten(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return errors
--- a/acaciarill/peers/_server.py
+++ b/acaciarill/peers/_server.py
@@ -11,6 +11,7 @@
 
 from ..addresses import split_address
 from ..errors import AcaciarillError, BadRequestError, Outcome, RefusedError, Step
+from ..listening import serve_connections
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
 from .const import GREETING_TIMEOUT_S, PROTOCOL_VERSION
@@ -58,8 +59,8 @@
         if self.tls is not None:
             listener = TLSListener(listener, self.tls, standard_compatible=False)
         task_status.started()
-        async with listener:
-            await listener.serve(self._serve_connection)
+        async with listener, anyio.create_task_group() as tasks:
+            await serve_connections(listener, self._serve_connection, tasks)
 
     async def notify_all(self) -> None:
         """Notify every connected daemon that this one has newer state to fetch."""
