Hand all batches over though the store fails in between

Each batch is handed over by itself; one that can't be sent is found by its next owner in its mirror.

Test: tests.batches.test_hand_over, the one with an outage failed before (StoreError).

--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -265,17 +265,24 @@
         self.draining = True
         for batch_id, runner in list(self.runners.items()):
             runner.stop()
-            record = self.mirror.records.get(batch_id)
-            head = BatchHead.from_value(record.value) if record is not None else None
-            if record is None or head is None or head.ended:
-                continue
-            if len(runner.log.results) >= head.total:
-                continue
-            owner = self._choose_owner(head.customer, head.path)
-            if await self.heads.update(
-                batch_id, record, replace(head, owner=owner, epoch=head.epoch + 1)
-            ):
-                texts = runner.texts.encode(runner.submission.items)
-                await self._send_to_owner(
-                    batch_id, await self.heads.load_body(batch_id, head), texts
+            try:
+                await self._hand_over_batch(batch_id, runner)
+            except StoreError as error:  # its next owner finds the batch in its mirror
+                log_message(
+                    message_type="batch:hand_over_failed", batch=batch_id, reason=error.message
                 )
+
+    async def _hand_over_batch(self, batch_id: str, runner: BatchRunner) -> None:
+        """Hand a batch over to another owner unless it is finished; raise StoreError."""
+        record = self.mirror.records.get(batch_id)
+        head = BatchHead.from_value(record.value) if record is not None else None
+        if record is None or head is None or head.ended:
+            return
+        if len(runner.log.results) >= head.total:
+            return
+        owner = self._choose_owner(head.customer, head.path)
+        if await self.heads.update(
+            batch_id, record, replace(head, owner=owner, epoch=head.epoch + 1)
+        ):
+            texts = runner.texts.encode(runner.submission.items)
+            await self._send_to_owner(batch_id, await self.heads.load_body(batch_id, head), texts)
