--- a/acaciarill/relays/_server.py
+++ b/acaciarill/relays/_server.py
@@ -153,6 +153,8 @@
                 outcome=Outcome.UNKNOWN,
                 code=WRONG_RESPONSE,
             )
+        if metadata.is_leaving:
+            state.record_leaving()  # this daemon sends requests of its own there too
         headers = [messages.Header(name=name, value=value) for name, value in head.headers]
         await send(forward_head=messages.ForwardHead(status=head.status, headers=headers))
         async for chunk in exchange.chunks():
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -1,6 +1,5 @@
 """Test upstreams that send bytes without end, beside the requests of other clients."""
 
-import random
 import tracemalloc
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -9,18 +8,17 @@
 import anyio
 
 from acaciarill.batches.const import STATE_COMPLETED
-from acaciarill.edge import HttpPool, ResponseBuffers
+from acaciarill.edge import ResponseBuffers
 from acaciarill.edge.const import MAX_RESPONSE_BYTES
 from acaciarill.errors import UpstreamError
-from acaciarill.fleet import Members, RouteKind, Upstream, UpstreamTable
+from acaciarill.fleet import RouteKind
 from acaciarill.peers import messages
-from acaciarill.platform._headers import UPSTREAM_CODEC
-from acaciarill.relays import RelayServer, UpstreamLinks
 from acaciarill.relays._client import RelayedExchange
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.raw_upstream import RawAnswer, RawRequest, RawUpstream
 from tests.platform.batches import make_item, running_batches, stream_events
 from tests.platform.raw_fleet import Answer, identify, make_route, raw_fleet, whole
+from tests.platform.relaying import start_relay
 
 REQUESTS = 60
 MEMORY_LIMIT_BYTES = 100 * 1024 * 1024
@@ -136,10 +134,7 @@
 
             with self.subTest(name), limited_memory(self):
                 async with anyio.create_task_group() as tasks:
-                    await upstream.start(tasks)
-                    server, call = self.relay(upstream, tasks)
-                    tasks.start_soon(self.keep_contact, server.members)
-                    await anyio.lowlevel.checkpoint()
+                    server, call = await start_relay(upstream, tasks)
                     with (
                         anyio.fail_after(TIMEOUT_S),
                         self.assertRaises((UpstreamError, anyio.BrokenResourceError)),
@@ -151,30 +146,6 @@
                     self.assertEqual(upstream.repeated_bytes, repeated_bytes)
                     tasks.cancel_scope.cancel()
 
-    async def keep_contact(self, members: Members) -> None:
-        while True:
-            members.record_ping("d2", "a:2", "dc", "front", True)
-            await anyio.sleep(0.2)
-
-    def relay(self, upstream: RawUpstream, tasks: Any) -> tuple[RelayServer, messages.Relay]:
-        clock = anyio.current_time
-        members = Members("d1", "a:1", "dc", "front", clock)
-        table = UpstreamTable("dc", clock, random.Random(1))
-        table.update([Upstream("e", "e", "s", upstream.address, "dc", 8)])
-        pool = HttpPool(clock)
-        links = UpstreamLinks(table, pool.can_connect, clock, tasks.start_soon)
-        call = messages.Relay(
-            daemon="d2",
-            upstream="e",
-            lifetime="e",
-            request_id="x",
-            method="POST",
-            target="/",
-            headers=[messages.Header(name=b"X-Acaciarill-Attempt-Id", value=b"x")],
-            body=b"x",
-        )
-        return RelayServer(members, table, links, pool, UPSTREAM_CODEC, clock), call
-
     async def test_body_that_a_relay_passes_on_is_cut(self) -> None:
         class EndlessFrames:
             async def receive(self) -> messages.Frame:
--- a/tests/platform/test_leaving_header.py
+++ b/tests/platform/test_leaving_header.py
@@ -3,13 +3,17 @@
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import anyio
 
 from acaciarill.edge import ResponseHead
 from acaciarill.platform._headers import decode_response
 from tests.fakes.event_loop import PlainLoopTestCase
+from tests.fakes.raw_upstream import RawAnswer, RawRequest, RawUpstream, encode_response
 from tests.platform.fakes import FakeReplica, submission
+from tests.platform.raw_fleet import identify
+from tests.platform.relaying import start_relay
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
 ABSENCE_S = 600.0
@@ -117,3 +121,23 @@
             await fleet.call("f1", "POST", "/b/x", submission(12, prefix="j"), id="batch-2")
             await fleet.read_results("f1", "batch-2", 12)
             self.assertEqual(len(fleet.engines[0].generations), begun)
+
+
+class RelayedLeavingHeaderTest(PlainLoopTestCase):
+    """Pass the response of a replica that leaves on to another daemon."""
+
+    # Found by the review (REPORT-2): the relay itself sent the replica further requests.
+    async def test_relay_notes_that_the_replica_leaves(self) -> None:
+        def answer(request: RawRequest) -> RawAnswer:
+            return RawAnswer(encode_response(200, identify(request) | {"Server-Leaving": "1"}))
+
+        async def send(**frame: Any) -> None:
+            frames.append(frame)
+
+        frames: list[dict[str, Any]] = []
+        async with anyio.create_task_group() as tasks:
+            server, call = await start_relay(RawUpstream(answer), tasks)
+            await server.on_relay(call, send)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(frames[0]["forward_head"].status, 200)
+        self.assertTrue(server.table.states["e"].has_left())
