Serve what a former owner still appends to a batch that was taken over

An owner that had another one before it reads the end of the log from the store when a client asks for more than it knows, at most every 0.5 s. Appending holds the log's lock, as a load beside it would add the same segment twice (a test shows it).

Tests: test_owner_serves_what_the_former_one_still_appends (fails without the refresh), test_load_beside_appends_adds_each_segment_once (failed before).

--- a/acaciarill/batches/_log.py
+++ b/acaciarill/batches/_log.py
@@ -6,6 +6,7 @@
 written.
 """
 
+import math
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -15,7 +16,13 @@
 
 from ..errors import StoreConflictError, StoreError
 from ._model import Result, ResultPage
-from .const import APPEND_RETRY_DELAY_S, KIND_RESULTS, MAX_PAGE_CHARACTERS, MAX_SEGMENT_BYTES
+from .const import (
+    APPEND_RETRY_DELAY_S,
+    KIND_RESULTS,
+    LOG_REFRESH_PERIOD_S,
+    MAX_PAGE_CHARACTERS,
+    MAX_SEGMENT_BYTES,
+)
 
 
 class ObjectAccess(Protocol):
@@ -47,6 +54,7 @@
     result_ids: set[str] = field(default_factory=set)
     segment_count: int = 0
     loaded: bool = False
+    refreshed_at: float = -math.inf
     results_added: anyio.Event = field(default_factory=anyio.Event)
     lock: anyio.Lock = field(default_factory=anyio.Lock)
 
@@ -62,6 +70,16 @@
                 await self._load_remaining_segments()
             self.loaded = True
 
+    async def refresh(self, now: float) -> None:
+        """Read what another owner may have appended since, not too often; raise StoreError.
+
+        A former owner that has not learned of its successor yet goes on, and its clients read what
+        it appends.
+        """
+        if now - self.refreshed_at >= LOG_REFRESH_PERIOD_S:
+            self.refreshed_at = now
+            await self.load()
+
     async def _load_remaining_segments(self) -> None:
         """Read the remaining segments by page, which takes fewer calls than one by one."""
         while True:
@@ -81,13 +99,10 @@
         """Append the results that the log lacks; retry until the store has them."""
         unwritten = list({result.id: result for result in results}.values())
         while unwritten := [result for result in unwritten if result.id not in self.result_ids]:
-            segment = _first_segment(unwritten)
-            rows = orjson.dumps([result.row() for result in segment])
             try:
-                await self.store.put(self._key(self.segment_count), rows, 0)
+                await self._append_segment(_first_segment(unwritten))
             except StoreConflictError:
                 await self._load_or_wait()  # an earlier try or another owner created it
-                continue
             except StoreError as error:
                 log_message(
                     message_type="batch:append_failed",
@@ -96,7 +111,14 @@
                     reason=error.message,
                 )
                 await anyio.sleep(APPEND_RETRY_DELAY_S)
-                continue
+
+    async def _append_segment(self, segment: list[Result]) -> None:
+        """Write one segment, unless a load has found some of its results; raise StoreError."""
+        async with self.lock:  # a load meanwhile would find this segment and add it too
+            if any(result.id in self.result_ids for result in segment):
+                return
+            rows = orjson.dumps([result.row() for result in segment])
+            await self.store.put(self._key(self.segment_count), rows, 0)
             self._add_segment(segment)
 
     async def delete(self) -> None:
--- a/acaciarill/batches/_reading.py
+++ b/acaciarill/batches/_reading.py
@@ -6,13 +6,13 @@
 import anyio
 from eliot import log_message
 
-from ..errors import PeerError, RefusedError, Step
+from ..errors import PeerError, RefusedError, Step, StoreError
 from ..fleet import Members
 from ._heads import BatchHeadStore, NotFoundError, put_bounded
 from ._log import ResultLog
-from ._model import BatchHead, ResultPage
+from ._model import FIRST_EPOCH, BatchHead, ResultPage
 from ._runner import BatchRunner
-from .const import READ_POLL_PERIOD_S, READ_TIMEOUT_MARGIN_S
+from .const import LOG_REFRESH_TIMEOUT_S, READ_POLL_PERIOD_S, READ_TIMEOUT_MARGIN_S
 
 ReadAtOwner = Callable[[str, str, int, float], Awaitable[ResultPage]]
 """Read the results of a batch from its owner: address, batch id, position, seconds to wait."""
@@ -55,11 +55,21 @@
                 step=Step.FORWARD,
                 code="not-owner",
             )
+        log = runner.log
+        if runner.head.epoch > FIRST_EPOCH and len(log.results) <= after < runner.head.total:
+            await self._refresh(log)
         with anyio.move_on_after(wait_s):
-            while len(runner.log.results) <= after < runner.head.total:
-                await runner.log.results_added.wait()
+            while len(log.results) <= after < runner.head.total:
+                await log.results_added.wait()
         return runner.log.page(runner.head.total, after)
 
+    async def _refresh(self, log: ResultLog) -> None:
+        with anyio.move_on_after(LOG_REFRESH_TIMEOUT_S):
+            try:
+                await log.refresh(self.clock())
+            except StoreError:
+                return  # what is known is served, as for any other read
+
     def _local_runner(self, batch_id: str, after: int) -> BatchRunner | None:
         """Return the local runner of a batch if its log can serve a read after the position.
 
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -71,6 +71,10 @@
 """An engine gets at least this time for an item, also shortly before the item is given up."""
 UNLIMITED_ATTEMPT_S = 600.0
 """Time that an engine gets for an item of a route without a queue time."""
+LOG_REFRESH_PERIOD_S = 0.5
+"""How often an owner that has taken a batch over reads the end of its log from the store, while
+clients ask for more than it knows."""
+LOG_REFRESH_TIMEOUT_S = 0.2
 FULL_RETRY_DELAY_S = 0.1
 FAILED_RETRY_DELAY_S = 0.2
 SCORE_TIMEOUT_S = 3.0
--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -20,6 +20,16 @@
         return stored
 
 
+class SlowStore(YieldingStore):
+    """Yield also after each write has taken effect, before its response is there."""
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        version = await super().put(key, value, expected_version)
+        for _ in range(3):
+            await anyio.sleep(0)
+        return version
+
+
 def results(*ids: str) -> list[Result]:
     return [Result(name, "completed", f"text of {name}", (1,)) for name in ids]
 
@@ -44,6 +54,22 @@
         self.assertEqual(self.result_ids_of(reader), ["a", "b", "c"])
         self.assertEqual(reader.segment_count, 2)
 
+    async def test_load_beside_appends_adds_each_segment_once(self) -> None:
+        log = ResultLog("b", SlowStore())
+
+        async def load_often() -> None:
+            for _ in range(200):
+                await log.load()
+                await anyio.sleep(0)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(load_often)
+            for name in "abcdefgh":
+                await log.append(results(name))
+        self.assertEqual("".join(self.result_ids_of(log)), "abcdefgh")
+        self.assertEqual(log.segment_count, 8)
+
     async def test_load_reads_every_page_of_its_own_log_only(self) -> None:
         writer, other = ResultLog("b", self.store), ResultLog("c", self.store)
         await other.append(results("z"))
--- a/tests/batches/test_reading.py
+++ b/tests/batches/test_reading.py
@@ -5,6 +5,7 @@
 from acaciarill.batches import BatchHead, Result, ResultLog, ResultPage
 from acaciarill.batches._heads import BatchHeadStore
 from acaciarill.batches._reading import ResultReader
+from acaciarill.batches.const import LOG_REFRESH_PERIOD_S
 from acaciarill.errors import PeerError, RefusedError, Step
 from acaciarill.fleet import Members
 from acaciarill.mirrors import Mirror, Record
@@ -24,6 +25,7 @@
     """Read a batch with three stored results of which its owner has loaded some."""
 
     async def asyncSetUp(self) -> None:
+        self.now = 1.0
         self.store = FakeStore()
         self.head = BatchHead("c", "h", "/b", 0.0, 4, 1, "d", "f1", epoch=2, ended=True)
         writer = ResultLog("b", self.store)
@@ -47,7 +49,7 @@
             self.runners,  # type: ignore[arg-type]
             members,
             fail_to_read,
-            lambda: 1.0,
+            lambda: self.now,
         )
 
     async def result_ids(self, reader: ResultReader, after: int) -> list[str]:
@@ -83,6 +85,19 @@
         await self.add_runner(2, stopped=True, loaded=True)
         self.assertEqual(await self.result_ids(self.reader(), 2), ["z"])
 
+    # Suspected by the review (REPORT-2): a result that the former owner appended after its
+    # successor had loaded the log was missing at the successor, though it had been read.
+    async def test_owner_serves_what_the_former_one_still_appends(self) -> None:
+        await self.add_runner(3, stopped=False, loaded=True)
+        reader = self.reader()
+        self.assertEqual(await self.result_ids(reader, 3), [])
+        former = ResultLog("b", self.store)
+        await former.load()
+        await former.append([Result("w", "completed", "w", (1,))])
+        self.now += LOG_REFRESH_PERIOD_S
+        self.assertEqual(await self.result_ids(reader, 3), ["w"])
+        self.assertEqual(await self.result_ids(reader, 0), ["x", "y", "z", "w"])
+
     async def test_running_owner_serves_results_from_memory(self) -> None:
         await self.add_runner(3, stopped=False, loaded=True)
         self.store.unavailable = True
