--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -236,6 +236,13 @@
                 engine.event_count = LONG_TEXT_EVENTS
                 await fleet.tasks.start(engine.run)
                 engine.register()
+
+            def uses_the_new_engines(name: str) -> bool:
+                states = fleet.daemons[name].table.states
+                used = {state.upstream.id for state in states.values() if not state.has_left()}
+                return used & {"c0", "c1", "e0", "e1"} == {"c0", "c1"}
+
+            await wait_until(lambda: uses_the_new_engines("f1") and uses_the_new_engines("f2"))
             await fleet.call("f1", "POST", "/b/x", submission(2), id="batch-1")
             for count in range(1, CRASHES_ALLOWED + 1):
                 await anyio.sleep(0.15)
