--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -183,7 +183,7 @@
             address = f"http://{front.settings.metrics_address}"
             arguments = ["--daemon", address, "fleet-release", key]
             run = await anyio.to_thread.run_sync(lambda: CliRunner().invoke(main, arguments))
-            self.assertEqual(run.output.strip(), "released")
+            self.assertEqual(run.stdout.strip(), "released")
             await wait_until(lambda: not fleet.daemons["f1"].quarantine.is_quarantined(key))
             self.assertEqual((await fleet.send("f1", 100)).head.status, 200)
 
