--- a/tests/leases/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -130,6 +130,7 @@
         await holder.renew_or_acquire()
         self.assertTrue(holder.is_held())
 
+    # review/9: in a rolling restart two daemons took turns at a duty within 1.5 s.
     async def test_holder_that_was_restarted_does_not_return_at_once(self) -> None:
         await self.first.renew_or_acquire()
         await self.pass_on(self.first, self.second)
