--- a/tests/platform/test_configuration_delay.py
+++ b/tests/platform/test_configuration_delay.py
@@ -1,39 +1,20 @@
 """Test that a confirmed configuration is in force in time at daemons that reach the store."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import anyio
 
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import configuration
 from tests.platform.partitions import Partitions, silence_store
-from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
+from tests.platform.test_whole_path import LocalFleet, wait_until
+from tests.platform.watched_fleet import WATCHERS, run_watched_fleet
 
 CONFIGURATION_LIMIT_S = 2.0
 """Users' limit on the time from the confirmation of a configuration until it is in force."""
-WATCHERS = ("s1", "s2", "s3")
 
 
 class ConfigurationDelayTest(PlainLoopTestCase):
     """Change the configuration while a daemon with callers has lost some of the others."""
 
-    @asynccontextmanager
-    async def run_fleet(self) -> AsyncIterator[LocalFleet]:
-        with anyio.fail_after(TEST_TIMEOUT_S):
-            async with anyio.create_task_group() as tasks:
-                fleet = LocalFleet(tasks)
-                await fleet.start()
-                for name in WATCHERS[1:]:
-                    fleet.start_daemon(name, "b")
-                await wait_until(lambda: fleet.daemons.keys() >= set(WATCHERS))
-                daemons = list(fleet.daemons.values())
-                await wait_until(lambda: all(len(d.members.by_name) == 5 for d in daemons))
-                fronts = [fleet.daemons["f1"], fleet.daemons["f2"]]
-                await wait_until(lambda: all(front.feed.watcher for front in fronts))
-                yield fleet
-                tasks.cancel_scope.cancel()
-
     async def _change_configuration(self, fleet: LocalFleet, name: str) -> float:
         """Return how long after its confirmation a configuration is in force at a daemon."""
         version = fleet.daemons[name].configuration.version + 1
@@ -54,7 +35,7 @@
     # CONFIG: a daemon that reached the store but no other daemon asked each watcher in turn before
     # it followed the store, and used a withdrawn key for 3.5 s.
     async def test_configuration_is_in_force_in_time_without_any_other_daemon(self) -> None:
-        async with self.run_fleet() as fleet:
+        async with run_watched_fleet() as fleet:
             partitions = Partitions(fleet)
             await self._wait_for_poll(fleet, "f1")
             partitions.cut("f1", (*WATCHERS, "f2"))
@@ -64,7 +45,7 @@
     # CONFIG: a watcher whose own watch had become silent told its followers only when its long poll
     # had timed out, and served its mirrors for another second.
     async def test_configuration_is_in_force_in_time_behind_a_watcher_without_store(self) -> None:
-        async with self.run_fleet() as fleet:
+        async with run_watched_fleet() as fleet:
             partitions = Partitions(fleet)
             watcher = fleet.daemons["f1"].feed.watcher
             others = {"f2", *WATCHERS} - {watcher}
--- a/tests/platform/test_severed_connections.py
+++ b/tests/platform/test_severed_connections.py
@@ -5,8 +5,7 @@
 """
 
 import random
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -15,7 +14,8 @@
 from acaciarill.peers import FrameStream, messages
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.platform.fakes import configuration, submission
-from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
+from tests.platform.test_whole_path import LocalFleet, wait_until
+from tests.platform.watched_fleet import FRONTS, run_watched_fleet
 
 CONTACT_S = 3.0
 """Users' time after which a daemon counts as in touch again."""
@@ -26,8 +26,6 @@
 CALL_TIMEOUT_S = 0.3
 PING = messages.Ping(daemon="probe", address="", data_centre="", role="")
 ITEMS = 8
-FRONTS = ("f1", "f2")
-WATCHERS = ("s1", "s2", "s3")
 
 
 def sever(fleet: LocalFleet, share: float, rng: random.Random) -> int:
@@ -52,21 +50,6 @@
 class SeveredConnectionsTest(PlainLoopTestCase):
     """Guard against waiting on a silent connection for longer than the users' limits allow."""
 
-    @asynccontextmanager
-    async def run_fleet(self) -> AsyncIterator[LocalFleet]:
-        with anyio.fail_after(TEST_TIMEOUT_S):
-            async with anyio.create_task_group() as tasks:
-                fleet = LocalFleet(tasks)
-                await fleet.start()
-                for name in WATCHERS[1:]:
-                    fleet.start_daemon(name, "b")
-                await wait_until(lambda: fleet.daemons.keys() >= set(WATCHERS))
-                daemons = list(fleet.daemons.values())
-                await wait_until(lambda: all(len(d.members.by_name) == 5 for d in daemons))
-                await wait_until(lambda: all(fleet.daemons[n].feed.watcher for n in FRONTS))
-                yield fleet
-                tasks.cancel_scope.cancel()
-
     async def configuration_delays(self, fleet: LocalFleet) -> dict[str, float]:
         """Return how long after its confirmation a configuration is in force, by daemon."""
         version = fleet.daemons["f1"].configuration.version + 1
@@ -81,7 +64,7 @@
         return delays
 
     async def test_a_call_that_times_out_ends_its_connection(self) -> None:
-        async with self.run_fleet() as fleet:
+        async with run_watched_fleet() as fleet:
             self.assertGreater(sever(fleet, 1.0, random.Random(1)), 0)
             for name, daemon in fleet.daemons.items():
                 for other in fleet.daemons.keys() - {name}:
@@ -93,7 +76,7 @@
     async def test_configuration_is_in_force_in_time(self) -> None:
         for share, seed in ((1.0, 1), (0.7, 2), (0.4, 3)):
             with self.subTest(share=share, seed=seed):
-                async with self.run_fleet() as fleet:
+                async with run_watched_fleet() as fleet:
                     self.assertGreater(sever(fleet, share, random.Random(seed)), 0)
                     await anyio.sleep(CONTACT_S)
                     delays = await self.configuration_delays(fleet)
@@ -102,13 +85,13 @@
     async def test_configuration_is_in_force_once_daemons_are_in_touch_again(self) -> None:
         for share, seed in ((1.0, 1), (0.7, 2)):
             with self.subTest(share=share, seed=seed):
-                async with self.run_fleet() as fleet:
+                async with run_watched_fleet() as fleet:
                     sever(fleet, share, random.Random(seed))
                     delays = await self.configuration_delays(fleet)
                 self.assertLess(max(delays.values()), CONTACT_S + CONFIGURATION_LIMIT_S)
 
     async def test_upstream_that_leaves_gets_no_requests_in_time(self) -> None:
-        async with self.run_fleet() as fleet:
+        async with run_watched_fleet() as fleet:
             sever(fleet, 0.7, random.Random(4))
             await anyio.sleep(CONTACT_S)
             leaving = fleet.engines[0]
@@ -122,7 +105,7 @@
             self.assertLess(anyio.current_time() - confirmed_at, DRAIN_LIMIT_S)
 
     async def test_batches_are_completed_and_read_everywhere(self) -> None:
-        async with self.run_fleet() as fleet:
+        async with run_watched_fleet() as fleet:
             for engine in fleet.engines:
                 engine.event_count, engine.event_interval_s = 20, 0.05
             for number, moment in enumerate(("before", "after")):
@@ -147,7 +130,7 @@
             calls = fleet.duty_api.calls
             return {body["window"] for target, _, _, body in calls if target == "/usage"}
 
-        async with self.run_fleet() as fleet:
+        async with run_watched_fleet() as fleet:
             await wait_until(lambda: bool(windows()))
             sever(fleet, 1.0, random.Random(6))
             expected = set(range(max(windows()) + 1, max(windows()) + 6))
