--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.units import build_generator_tables, run_unit, split_into_units
+from tests.units import SOLITARY_TESTS, build_generator_tables, run_unit, split_into_units
 
 ROOT = Path(__file__).resolve().parent.parent
 WORKER_COUNT = max(1, (os.cpu_count() or 1) // 2)
@@ -31,11 +31,10 @@
     return {entry.split("|")[0].strip(): entry for entry in entries}
 
 
-def run_units(units: list[str]) -> Totals:
-    """Run all units in worker processes, and print each result when it is there."""
-    totals = Totals()
+def run_units(units: list[str], worker_count: int, totals: Totals) -> None:
+    """Run units in worker processes, print each result when it is there, and add it to the sums."""
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(WORKER_COUNT, mp_context=context) as executor:
+    with ProcessPoolExecutor(worker_count, mp_context=context) as executor:
         for future in as_completed(executor.submit(run_unit, unit) for unit in units):
             result = future.result()
             verdict = "FAILED" if result.failed else "ok"
@@ -45,7 +44,6 @@
             totals.passed += result.passed
             totals.skipped += result.skipped
             totals.failed += result.failed
-    return totals
 
 
 def main() -> int:
@@ -60,7 +58,10 @@
         print(error)
     units = split_into_units(suite)
     build_generator_tables()
-    totals = run_units(units)
+    totals = Totals()
+    solitary_units = [unit for unit in units if unit.startswith(SOLITARY_TESTS)]
+    run_units([unit for unit in units if unit not in solitary_units], WORKER_COUNT, totals)
+    run_units(solitary_units, 1, totals)
     known_failures = read_known_failures()
     for test_id in totals.failed:
         if test_id in known_failures:
