Read from accepted connections only while somebody waits for their bytes

Cause: the transport of an accepted connection reads from its start, into a queue without a bound. Reading is paused only at the end of a `receive` that had to wait. A server whose first `receive` found bytes already there, and that afterwards always had some left to parse, never waited, so it took all that the client sent as fast as the client sent it.

Reading is paused when the connection is accepted, for all listeners that serve through `serve_connections` (callers, ready, metrics, other daemons), and one read takes 64 KB at most instead of 256.

--- a/acaciarill/listening.py
+++ b/acaciarill/listening.py
@@ -6,9 +6,12 @@
 
 import anyio
 import anyio.abc
+from anyio.streams.tls import TLSStream
 from eliot import log_message
 
 ACCEPT_RETRY_DELAY_S = 0.2
+MAX_READ_BYTES = 64 * 1024
+"""Limit of one read from a socket; the loop's default is 256 KB, for each connection."""
 TEMPORARY_ERRORS = frozenset(
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED}
 )
@@ -21,10 +24,15 @@
     task_group: anyio.abc.TaskGroup,
 ) -> None:
     """Serve a listener in a task group; go on accepting after temporary errors."""
+
+    async def serve_paused(stream: Any) -> None:
+        pause_reading(stream)
+        await handler(stream)
+
     while True:
         failed = None
         try:
-            await listener.serve(handler, task_group)
+            await listener.serve(serve_paused, task_group)
         except* OSError as group:
             failed = group
         if failed is None:
@@ -39,6 +47,19 @@
         await anyio.sleep(ACCEPT_RETRY_DELAY_S)
 
 
+def pause_reading(stream: anyio.abc.ByteStream) -> None:
+    """Read from a connection only while somebody waits for its bytes.
+
+    The transport of an accepted connection reads from the start, and goes on without bound until a
+    `receive` has found nothing to return.
+    """
+    if isinstance(stream, TLSStream):
+        stream = stream.transport_stream
+    transport = stream._transport  # type: ignore[attr-defined]  # not public in anyio
+    transport.max_size = MAX_READ_BYTES
+    transport.pause_reading()
+
+
 def _flatten(group: BaseExceptionGroup[OSError]) -> list[OSError]:
     errors: list[OSError] = []
     for error in group.exceptions:
