Bound what all connections of a process hold, by its memory

What callers saw: 48 clients that sent bodies of 4 MB, a legal size, whole or in chunks, complete or stopping short, took a process of 128 MB to 177 to 278 MB (570 MB before a slow replica); on the users' machines the process was ended, with the requests of everybody.

Cause: each limit was one of a single request. Nothing counted what all connections hold together: bodies, incomplete heads, bytes read ahead, responses that are not read, bytes that wait in the kernel. Each request also let another 64 KB be read ahead, beside what the parser held already.

Ruled out: a lower max_body_bytes (the pages promise that size to a single caller); a bound by address (the platform's balancer forwards all clients from one); a shorter idle timeout (the bodies of the crowd arrive in under a second).

One account for each accepted connection, in one budget that the listeners for callers, probes and operators share (the one for daemons follows): - content: a fifth of memory_mb. Large bodies (over 64 KB) take three quarters of it at most and find their room at the head, or are refused with 503 and Retry-After before they are read; small requests have the rest. A single large body always has room, whatever the memory. - connections: one for each 256 KB of memory, and half of the descriptors that are free; an eighth of them is kept for probes, operators, daemons. - what gives way: the most bytes times the longest time without progress (16 KB or a complete request; a byte now and then is none). A request that runs does not give way, except while its response is not read. Requests that are being received get 503, others are closed. - a response of which nothing is read for idle_timeout ends its connection. - the kernel's buffers of accepted connections are 64 KB each way; those of a connection that is not read count as held. - bytes read ahead are bounded by what the parser holds, not by request. - the listeners for probes and operators take no bodies of over 4 KB.

The server is split: requests and limits, one connection, the listener.

Heads that do not end, and responses of 2 MB that nobody reads, were inside the limits before too and are kept as guards; so are the tests of who gives way, which passed before as nothing was refused.

--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -7,8 +7,10 @@
     Exchange,
     HttpPool,
 )
+from ._connection import Responder
+from ._requests import EdgeLimits, Request
 from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
-from ._server import EdgeLimits, EdgeServer, Request, Responder
+from ._server import EdgeServer
 
 __all__ = [
     "BodyReader",
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -39,6 +39,8 @@
 
 CLOSE_LINGER_S = 0.5
 """Time to read the rest of a rejected request, since a TCP reset would discard the response."""
+MAX_LINGERING_CONNECTIONS = 64
+"""Limit of the connections of a server that do so at a time; others are closed at once."""
 
 END_TIMEOUT_S = 0.2
 """Time to send the last answers when the process stops."""
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -12,6 +12,12 @@
 
 from ..batches import BatchManager, BatchPorts, EngineScheduler, RunnerPorts, TextLimits
 from ..batches.const import CLAIM_PERIOD_S, KIND_HEADS
+from ..connection_budget import (
+    CLOSE_STALLED_PERIOD_S,
+    KIND_OPERATORS,
+    KIND_READINESS,
+    ConnectionBudget,
+)
 from ..control import RetireDuty, ScaleDuty, StartedRequestCounter, UsageDuty, WeightsDuty
 from ..duties import DutyManager
 from ..edge import EdgeLimits, EdgeServer, HttpPool, Request, Responder
@@ -57,11 +63,15 @@
     CONTROL_DUTY,
     CRASH_LEARNING_TIMEOUT_S,
     KIND_MEMBERS,
+    MAX_CONTROL_BODY_BYTES,
     MISSING_ENTRY_CHECK_PERIOD_S,
     POOL_SWEEP_PERIOD_S,
     REGISTRATION_RETRY_DELAY_S,
 )
 
+CONTROL_LIMITS = EdgeLimits(max_body_bytes=MAX_CONTROL_BODY_BYTES)
+"""Limits of readiness probes and operators' requests, which have no bodies."""
+
 
 class FleetDaemon:
     """Serve clients and batches and run duties, on one event loop in one thread."""
@@ -77,6 +87,13 @@
         self.rng = random.Random()
         self.wall_clock = WallClock(self.clock)
         self.metrics = Metrics()
+        self.budget = ConnectionBudget(
+            self.clock,
+            settings.connection_limits,
+            self.metrics.count_connection_closed,
+            self.metrics.count_connection_refused,
+        )
+        self.metrics.watch_connections(self.budget)
         self.pool = HttpPool(self.clock)
         self.channel = StoreChannel(
             settings.store, self.pool, self.clock, self.metrics.count_store_call
@@ -266,7 +283,13 @@
         self.edge_server: EdgeServer | None = None
         if self.settings.callers:
             handler = self.ports.request_handler(self)
-            self.edge_server = EdgeServer(self.settings.callers, handler, self.clock, self._limits)
+            self.edge_server = EdgeServer(
+                self.settings.callers,
+                handler,
+                self.clock,
+                self._limits,
+                self.budget,
+            )
 
     def _record_crash(self, lifetime: str, request_key: str) -> None:
         self.metrics.count_crash()
@@ -367,7 +390,14 @@
         await self.task_group.start(self.peers.server.run)
         await self.task_group.start(self._serve_metrics)
         if self.settings.readiness:
-            readiness = EdgeServer(self.settings.readiness, self._answer_readiness, self.clock)
+            readiness = EdgeServer(
+                self.settings.readiness,
+                self._answer_readiness,
+                self.clock,
+                lambda: CONTROL_LIMITS,
+                self.budget,
+                KIND_READINESS,
+            )
             await self.task_group.start(readiness.run)
         for follower in self.mirrors.followers.values():
             start(follower.run)
@@ -375,6 +405,7 @@
             start(self.feed.run)
         start(self._register_in_store)
         subscribe = self.timer.subscribe
+        subscribe(CLOSE_STALLED_PERIOD_S, self._close_stalled_connections)
         subscribe(PING_PERIOD_S, self.peers.ping_peers)
         subscribe(POOL_SWEEP_PERIOD_S, self._close_expired_connections)
         subscribe(MISSING_ENTRY_CHECK_PERIOD_S, self._expire_missing_upstreams)
@@ -406,6 +437,9 @@
         self.scheduler.assign_slots()
         self.scheduler.stop_lagging_streams()
 
+    async def _close_stalled_connections(self) -> None:
+        self.budget.close_stalled()
+
     async def _close_expired_connections(self) -> None:
         self.pool.close_expired_connections()
         await self.relay_client.close_expired_connections()
@@ -458,6 +492,7 @@
             "batches_owned": sorted(self.batch_manager.runners),
             "items_waiting": len(self.scheduler.waiters),
             "items_running": len(self.scheduler.active_streams),
+            "connections": self.budget.status(),
         }
 
     async def _serve_metrics(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
@@ -473,7 +508,14 @@
                 kind, body = b"text/plain", self.metrics.text()
             await responder.send_response(200, [(b"Content-Type", kind)], body)
 
-        server = EdgeServer(self.settings.metrics_address, handle_request, self.clock)
+        server = EdgeServer(
+            self.settings.metrics_address,
+            handle_request,
+            self.clock,
+            lambda: CONTROL_LIMITS,
+            self.budget,
+            KIND_OPERATORS,
+        )
         await server.run(task_status=task_status)
 
     async def _drain(self) -> None:
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from ..batches import TextCache
+from ..connection_budget import ConnectionBudget
 from ..mirrors import MirrorFollower
 
 
@@ -98,6 +99,45 @@
             registry=self.registry,
         )
 
+        self.client_connections = Gauge(
+            "acaciarill_client_connections",
+            "Connections that clients, operators and other daemons have open",
+            registry=self.registry,
+        )
+        self.client_bytes = Gauge(
+            "acaciarill_client_bytes",
+            "Bytes that these connections make this daemon hold, and the limits",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.connections_closed = Counter(
+            "acaciarill_client_connections_closed",
+            "Connections that were closed since others needed what they held, by what was short",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.connections_refused = Counter(
+            "acaciarill_client_refusals",
+            "Connections and bodies that found no room, by what was short",
+            ["reason"],
+            registry=self.registry,
+        )
+
+    def watch_connections(self, budget: ConnectionBudget) -> None:
+        """Report what connections hold whenever the metrics are read."""
+        self.client_connections.set_function(lambda: len(budget.accounts))
+        self.client_bytes.labels("held").set_function(lambda: budget.held_bytes)
+        self.client_bytes.labels("large bodies").set_function(lambda: budget.large_body_bytes)
+        self.client_bytes.labels("limit").set_function(lambda: budget.content_limit)
+
+    def count_connection_closed(self, reason: str) -> None:
+        """Count one connection that gave way."""
+        self.connections_closed.labels(reason).inc()
+
+    def count_connection_refused(self, reason: str) -> None:
+        """Count one connection or body that found no room."""
+        self.connections_refused.labels(reason).inc()
+
     def count_relayed(self, outcome: str) -> None:
         """Count one exchange through another daemon, or for one."""
         self.relayed.labels(outcome).inc()
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -1,11 +1,12 @@
 """Define the settings of a fleet daemon and the ports to its platform."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..batches import EventParser, ObjectAccess, Submission
 from ..batches.const import DEFAULT_RETENTION_S
+from ..connection_budget import ConnectionLimits
 from ..control import OrderOutcome
 from ..edge import Request, Responder
 from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
@@ -25,7 +26,8 @@
     `max_object_bytes` is the store's limit of one object, `memory_bytes` that of the process.
     `duty_return_delay_s` is how long after it has last acted for a duty a daemon does not succeed
     another holder of that duty. `batch_retention_s` is how long after their submission the results
-    of batches that have been ended can still be read.
+    of batches that have been ended can still be read. `connection_limits` bound what the
+    connections at all listeners hold together.
     """
 
     host: str
@@ -43,6 +45,7 @@
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     duty_return_delay_s: float = DUTY_LEASE_TTL_S
     batch_retention_s: float = DEFAULT_RETENTION_S
+    connection_limits: ConnectionLimits = field(default_factory=ConnectionLimits)
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/fleet_daemon/const.py
+++ b/acaciarill/fleet_daemon/const.py
@@ -5,6 +5,7 @@
 KIND_MEMBERS = "daemons"
 DEFAULT_MAX_OBJECT_BYTES = 1024 * 1024
 DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+MAX_CONTROL_BODY_BYTES = 4096
 CONTROL_DUTY = "control"
 """The duty whose lease covers usage reports, scaling, weight loads and host retirements."""
 
--- a/acaciarill/listening.py
+++ b/acaciarill/listening.py
@@ -1,6 +1,7 @@
 """Accept connections as long as the process runs."""
 
 import errno
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,6 +10,10 @@
 from anyio.streams.tls import TLSStream
 from eliot import log_message
 
+from .addresses import split_address
+from .connection_budget import SOCKET_BUFFER_BYTES
+
+DEFAULT_BACKLOG = 512
 ACCEPT_RETRY_DELAY_S = 0.2
 MAX_READ_BYTES = 64 * 1024
 """Limit of one read from a socket; the loop's default is 256 KB, for each connection."""
@@ -18,6 +23,17 @@
 """Errors of accept that pass: no descriptor or buffer is free, or the client is gone already."""
 
 
+async def listen(address: str, backlog: int = DEFAULT_BACKLOG) -> anyio.abc.Listener[Any]:
+    """Listen on an address (`ip:port`); accepted connections have small buffers in the kernel."""
+    host, port = split_address(address)
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=backlog)
+    for part in listener.listeners:
+        raw_socket = part.extra(anyio.abc.SocketAttribute.raw_socket)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            raw_socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+    return listener
+
+
 async def serve_connections(
     listener: anyio.abc.Listener[Any],
     handler: Callable[[Any], Awaitable[None]],
@@ -53,13 +69,22 @@
     The transport of an accepted connection reads from the start, and goes on without bound until a
     `receive` has found nothing to return.
     """
-    if isinstance(stream, TLSStream):
-        stream = stream.transport_stream
-    transport = stream._transport  # type: ignore[attr-defined]  # not public in anyio
+    transport = _transport(stream)
     transport.max_size = MAX_READ_BYTES
     transport.pause_reading()
 
 
+def abort_stream(stream: anyio.abc.ByteStream) -> None:
+    """Close a connection without waiting for what is unsent."""
+    _transport(stream).abort()
+
+
+def _transport(stream: anyio.abc.ByteStream) -> Any:
+    if isinstance(stream, TLSStream):
+        stream = stream.transport_stream
+    return stream._transport  # type: ignore[attr-defined]  # not public in anyio
+
+
 def _flatten(group: BaseExceptionGroup[OSError]) -> list[OSError]:
     errors: list[OSError] = []
     for error in group.exceptions:
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -95,6 +95,7 @@
         max_object_bytes=settings.max_object_bytes,
         memory_bytes=settings.memory_bytes,
         batch_retention_s=settings.batch_retention_s,
+        connection_limits=settings.connection_limits,
         duty_return_delay_s=settings.duty_turn_s + DUTY_ARRIVAL_MARGIN_S,
     )
 
--- a/acaciarill/platform/_settings.py
+++ b/acaciarill/platform/_settings.py
@@ -6,12 +6,14 @@
 from pathlib import Path
 from typing import Any
 
+from ..connection_budget import DEFAULT_MAX_DESCRIPTORS, ConnectionLimits
 from ..errors import ConfigError, ConfigFault
 from ..fleet_daemon import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
 from .const import METRICS_PORT, SETTINGS_PATH, SETTINGS_VARIABLE
 
 MS_PER_S = 1000
 DEFAULT_DUTY_TURN_S = 3.0
+OWN_TABLE = "acaciarill"
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,6 +44,7 @@
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     data_centres: tuple[str, ...] = field(default=())
     duty_turn_s: float = DEFAULT_DUTY_TURN_S
+    connection_limits: ConnectionLimits = field(default_factory=ConnectionLimits)
 
 
 def settings_path() -> Path:
@@ -89,9 +92,29 @@
         duty_turn_s=(
             bounds["lease_ms"] / MS_PER_S if "lease_ms" in bounds else DEFAULT_DUTY_TURN_S
         ),
+        connection_limits=_connection_limits(raw),
     )
 
 
+def _connection_limits(raw: dict[str, Any]) -> ConnectionLimits:
+    """Return the limits of connections, which the table of this program may set."""
+    limits = raw.get("limits", {})
+    max_descriptors = int(limits.get("max_fds") or DEFAULT_MAX_DESCRIPTORS)
+    derived = ConnectionLimits.from_settings(_memory_bytes(limits), max_descriptors)
+    own = raw.get(OWN_TABLE, {})
+    return ConnectionLimits(
+        content_bytes=_positive(own, "max_content_bytes", derived.content_bytes),
+        max_connections=_positive(own, "max_connections", derived.max_connections),
+    )
+
+
+def _positive(table: dict[str, Any], name: str, default: int) -> int:
+    value = table.get(name, default)
+    if type(value) is not int or value <= 0:
+        raise ValueError(f"{OWN_TABLE}.{name}: expected a positive integer")
+    return value
+
+
 def _memory_bytes(limits: dict[str, Any]) -> int:
     memory_mb = limits.get("memory_mb", 0)
     return int(memory_mb * 1024 * 1024) if memory_mb > 0 else DEFAULT_MEMORY_BYTES
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -38,6 +38,15 @@
             for connection_pieces in pieces:
                 tasks.start_soon(self._send, connection_pieces)
 
+    async def send_slowly(
+        self, connection: socket.socket, pieces: Iterator[bytes], pause_s: float
+    ) -> None:
+        """Send pieces on an open connection with a pause after each, until it is closed."""
+        with suppress(OSError):
+            for piece in pieces:
+                connection.send(piece)
+                await anyio.sleep(pause_s)
+
     async def _send(self, pieces: Iterator[bytes]) -> None:
         connection = socket.socket()
         self.sockets.append(connection)
--- a/tests/clients/deployment.py
+++ b/tests/clients/deployment.py
@@ -118,15 +118,16 @@
 
 
 class CountingReplica(FakeReplica):
-    """Respond with the size of the body, of which any is allowed."""
+    """Respond with the size of the body, of which any is allowed, or with `answer_bytes` bytes."""
 
     def __init__(self, store: FakeStore, name: str, service: str, zone: str) -> None:
         super().__init__(store, name, service, zone, {})
+        self.answer_bytes = 0
         self.server.limits = lambda: EdgeLimits(max_body_bytes=MAX_REPLICA_BODY_BYTES)
 
     async def serve(self, request: Request, responder: Responder) -> None:
         await anyio.sleep(self.response_delay_s)
-        body = b"%d bytes" % len(request.body)
+        body = b"x" * self.answer_bytes or b"%d bytes" % len(request.body)
         await responder.send_response(200, self._response_headers(request), body)
 
 
--- /dev/null
+++ b/tests/clients/test_related_crowds.py
@@ -0,0 +1,103 @@
+"""Test crowds on the paths beside those that the users reported, within the same limits."""
+
+from collections.abc import Iterator
+from itertools import repeat
+
+import anyio
+
+from tests.clients.cases import (
+    CLIENT_LIMITS,
+    LARGE_BODIES,
+    LIMITS,
+    MAX_BODY_BYTES,
+    PIECE_BYTES,
+    PIPELINES,
+    CrowdTestCase,
+    body_with_length,
+    requests_sent_ahead,
+)
+from tests.clients.crowd import Crowd
+from tests.clients.deployment import MB, Deployment, running_deployment
+
+LARGE_ANSWERS = 100
+"""Together, they have one and a half times the memory of a process."""
+ANSWER_BYTES = 2 * MB
+ENDLESS_HEADS = 400
+STRANGERS = 900
+"""One and a half times the descriptors of a process."""
+SLOW_BODIES = 12
+SLOW_PIECES = 6
+PIECE_PAUSE_S = 0.4
+
+
+def endless_head() -> Iterator[bytes]:
+    """Yield a head just short of the largest size, without its end."""
+    yield b"GET /p/1 HTTP/1.1\r\nHost: h.example\r\n"
+    yield b"X-Field: " + b"x" * (CLIENT_LIMITS["max_header_bytes"] - 100)
+
+
+class RelatedCrowdTest(CrowdTestCase):
+    """Guard against the causes of the reported crowds on related paths."""
+
+    async def test_heads_that_do_not_end(self) -> None:
+        await self.check_beside([endless_head() for _ in range(ENDLESS_HEADS)])
+
+    async def test_connections_beyond_the_descriptors(self) -> None:
+        await self.check_beside([iter(()) for _ in range(STRANGERS)])
+
+    async def test_connections_beyond_the_descriptors_at_the_ready_path(self) -> None:
+        await self.check_beside([iter(()) for _ in range(STRANGERS)], "ready")
+
+    async def test_large_answers_that_nobody_reads(self) -> None:
+        request = b"GET /s/1 HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+        def prepare(deployment: Deployment) -> None:
+            deployment.web.answer_bytes, deployment.web.response_delay_s = ANSWER_BYTES, 0.0
+
+        def restore(deployment: Deployment) -> None:
+            deployment.web.answer_bytes = 0
+
+        await self.check_beside(
+            [iter((request,)) for _ in range(LARGE_ANSWERS)], prepare=prepare, restore=restore
+        )
+
+    async def test_large_bodies_at_the_metrics(self) -> None:
+        await self.check_beside(
+            [body_with_length(MAX_BODY_BYTES, MAX_BODY_BYTES - 1) for _ in range(LARGE_BODIES)],
+            "metrics",
+        )
+
+    async def test_requests_sent_ahead_to_the_metrics(self) -> None:
+        request = b"GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n"
+        await self.check_beside([requests_sent_ahead(request) for _ in range(PIPELINES)], "metrics")
+
+
+class YieldTest(CrowdTestCase):
+    """Check who gives way: what holds most for longest, not who comes last."""
+
+    async def test_large_body_after_bodies_that_have_stalled(self) -> None:
+        async with running_deployment(LIMITS, CLIENT_LIMITS) as deployment:
+            with Crowd(deployment.front.address("front")) as crowd:
+                await crowd.send_all(
+                    [body_with_length(MAX_BODY_BYTES, PIECE_BYTES) for _ in range(LARGE_BODIES)]
+                )
+                await anyio.sleep(1.5)  # they have stalled by then
+                response = await deployment.call("front", "POST", "/p/1", b"x" * MAX_BODY_BYTES)
+        self.assertEqual(response.head.status, 200)
+
+    async def test_large_body_after_bodies_of_which_a_byte_comes_now_and_then(self) -> None:
+        async with running_deployment(LIMITS, CLIENT_LIMITS) as deployment:
+            with Crowd(deployment.front.address("front")) as crowd:
+                async with anyio.create_task_group() as tasks:
+                    pieces = [
+                        body_with_length(MAX_BODY_BYTES, PIECE_BYTES) for _ in range(SLOW_BODIES)
+                    ]
+                    await crowd.send_all(pieces)
+                    for connection in crowd.sockets:
+                        tasks.start_soon(
+                            crowd.send_slowly, connection, repeat(b"x", SLOW_PIECES), PIECE_PAUSE_S
+                        )
+                    await anyio.sleep(SLOW_PIECES * PIECE_PAUSE_S / 2)
+                    response = await deployment.call("front", "POST", "/p/1", b"x" * MAX_BODY_BYTES)
+                    tasks.cancel_scope.cancel()
+        self.assertEqual(response.head.status, 200)
--- /dev/null
+++ b/tests/connection_budget/__init__.py
@@ -0,0 +1,1 @@
+"""Test how connections share what a process may hold."""
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -446,3 +446,14 @@
             self.load(self.TEXT.replace("[provider]", "[other]"))
         with self.assertRaises(ConfigError):
             self.load("no toml")
+
+    def test_reads_limits_of_connections(self) -> None:
+        text = self.TEXT + "[limits]\nmemory_mb = 300\nmax_fds = 600\n"
+        limits = self.load(text).connection_limits
+        self.assertEqual((limits.content_bytes, limits.max_connections), (60 * 1024 * 1024, 200))
+        own = "[acaciarill]\nmax_content_bytes = 5000\nmax_connections = 7\n"
+        limits = self.load(text + own).connection_limits
+        self.assertEqual((limits.content_bytes, limits.max_connections), (5000, 7))
+        for value in ("0", "-1", "true", '"many"', "1.5"):
+            with self.assertRaisesRegex(ConfigError, "max_connections"):
+                self.load(text + f"[acaciarill]\nmax_connections = {value}\n")
