Refuse what cannot be served at its head, before the body is read

What callers saw: a client without a key, at a path without a route, or beside a daemon that has no configuration yet, sent its whole body before it was told so; 48 such bodies a byte short were held for 15 s each.

Cause: route, key and drain were looked at only once the whole request had been read.

The server asks the handler about the head of each request with a body. What the check found is kept with the request and used once the body is there, unless the configuration has changed meanwhile; then it is done anew, so a key that is withdrawn while the body arrives is refused as before. Each request is still checked once in calm. The refusal is the same response as before.

--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -285,10 +285,11 @@
             handler = self.ports.request_handler(self)
             self.edge_server = EdgeServer(
                 self.settings.callers,
-                handler,
+                handler.serve,
                 self.clock,
                 self._limits,
                 self.budget,
+                check_head=handler.check_head,
             )
 
     def _record_crash(self, lifetime: str, request_key: str) -> None:
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -1,6 +1,6 @@
 """Define the settings of a fleet daemon and the ports to its platform."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -73,12 +73,22 @@
     decode_version: Callable[[Record], tuple[str, int]]
     decode_submission: Callable[[bytes], Submission]
     event_reader: Callable[[], EventParser]
-    request_handler: Callable[["FleetDaemon"], Callable[[Request, Responder], Awaitable[None]]]
+    request_handler: Callable[["FleetDaemon"], "RequestPort"]
     duty_calls: Callable[["FleetDaemon"], "DutyPort"]
     is_retirement_completed: Callable[[Record], bool]
     completed_retirement_status: dict[str, str]
 
 
+class RequestPort(Protocol):
+    """Serve the requests of clients."""
+
+    def check_head(self, request: Request) -> Exception | None:
+        """Return why a request cannot be served whatever its body is, or None."""
+
+    async def serve(self, request: Request, responder: Responder) -> None:
+        """Respond to one request."""
+
+
 class FleetStore(ObjectAccess, KindSource, Protocol):
     """Read, write, list and watch the objects of the store."""
 
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -54,7 +54,7 @@
             daemon.clock,
             daemon.metrics.observe_request,
             lambda: daemon.drain_deadline,
-        ).serve
+        )
 
     def duty_client(daemon: FleetDaemon) -> DutyClient:
         return DutyClient(settings.host, settings.duty_api, daemon.pool, daemon.holds_duty)
--- a/acaciarill/platform/_request_handler.py
+++ b/acaciarill/platform/_request_handler.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from urllib.parse import parse_qs, unquote
 
 from eliot import log_message
@@ -53,6 +54,15 @@
     status = 404
 
 
+@dataclass(slots=True, frozen=True)
+class _Admission:
+    """Hold what the head of a request decides; calls of the batch API have no route."""
+
+    configuration: Configuration
+    route: Route | None
+    customer: str
+
+
 class RequestHandler:
     """Respond to the client requests that this daemon receives."""
 
@@ -77,26 +87,55 @@
         self.clock = clock
         self.observe_request = observe_request
 
+    def check_head(self, request: Request) -> AcaciarillError | None:
+        """Return why a request cannot be served whatever its body is, or None."""
+        try:
+            request.head_result = self._admit(request)
+        except AcaciarillError as error:
+            return error
+        return None
+
+    def _admit(self, request: Request) -> _Admission:
+        """Find the route and the customer of a request by its head; raise AcaciarillError."""
+        configuration = self.configuration()
+        if configuration is None:
+            raise RefusedError(
+                "no configuration has been received yet",
+                step=Step.CONFIGURE,
+                retry_after_s=DEFAULT_RETRY_AFTER_S,
+            )
+        path = request.target.partition("?")[0]
+        if path.startswith((PATH_BATCHES, PATH_ITEMS)):
+            return _Admission(configuration, None, self._authenticate(configuration, request, None))
+        route = self._find_route(configuration, request, path)
+        customer = self._authenticate(configuration, request, route)
+        self._check_drain(request, route)
+        return _Admission(configuration, route, customer)
+
+    def _current_admission(self, request: Request) -> _Admission:
+        """Return what the check of the head found, unless the configuration has changed since."""
+        if request.head_error is not None:
+            raise request.head_error
+        admission = request.head_result
+        if admission is None or admission.configuration is not self.configuration():
+            return self._admit(request)
+        self._check_drain(request, admission.route)
+        return admission
+
     async def serve(self, request: Request, responder: Responder) -> None:
         """Respond to one request; every AcaciarillError becomes an error response."""
         kind = "request"
         status = 0
         try:
-            configuration = self.configuration()
-            if configuration is None:
-                raise RefusedError(
-                    "no configuration has been received yet",
-                    step=Step.CONFIGURE,
-                    retry_after_s=DEFAULT_RETRY_AFTER_S,
-                )
             path, _, query = request.target.partition("?")
             if path.startswith((PATH_BATCHES, PATH_ITEMS)):
                 kind = "batch"
-                status = await self._serve_batch(configuration, request, responder, path, query)
+            admission = self._current_admission(request)
+            configuration, route = admission.configuration, admission.route
+            customer = admission.customer
+            if route is None:
+                status = await self._serve_batch(customer, request, responder, path, query)
             else:
-                route = self._find_route(configuration, request, path)
-                customer = self._authenticate(configuration, request, route)
-                self._check_drain(request, route)
                 if route.kind is RouteKind.BATCH:
                     kind = "submission"
                     await self.batch_manager.acceptance.accept(
@@ -126,8 +165,10 @@
             raise NoRouteError("no route matches this host and path", step=Step.ROUTE)
         return route
 
-    def _check_drain(self, request: Request, route: Route) -> None:
+    def _check_drain(self, request: Request, route: Route | None) -> None:
         """Raise RefusedError if this daemon stops before the route's objective."""
+        if route is None:
+            return
         if request.received_at + route.latency_objective_s > self.drain_deadline():
             raise RefusedError(
                 "this daemon stops before the request can be served",
@@ -207,13 +248,12 @@
 
     async def _serve_batch(
         self,
-        configuration: Configuration,
+        customer: str,
         request: Request,
         responder: Responder,
         path: str,
         query: str,
     ) -> int:
-        customer = self._authenticate(configuration, request, None)
         parameters = parse_qs(query)
         headers: list[tuple[bytes, bytes]] = []
         body = b""
