Account for what other daemons' connections hold, too

What callers saw: nothing yet. On the port for other daemons, 16 clients that send most of a frame of the largest size took a front of 128 MB to 290 MB, and with it the requests of all its callers.

Cause: a frame of up to 16 MB is buffered whole, for each connection; calls that run and responses that wait to be sent were not bounded either, and a connection could start any number of calls.

Frames find room as bodies do, a frame's bytes are held until its call has ended, a response's until it is sent, and 1,024 calls of one connection run at a time; beyond that it is not read. A daemon that reads nothing for 10 s loses its connection. All count in the budget of the callers' listener, and what holds most for longest gives way; pings keep the connections of live daemons young.

The calls whose responses are not read were inside the limits before too, and are kept as a guard.

--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -139,6 +139,7 @@
             settings.seeds,
             self.task_group,
             self.rng,
+            self.budget,
         )
         self.channel.relay = self.peers.relay
         self.peers.table = self.table
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from ..batches import BatchManager, Result, ResultPage
+from ..connection_budget import ConnectionBudget
 from ..control import StartedRequestCounter
 from ..errors import Outcome, PeerError, Step
 from ..fleet import (
@@ -56,6 +57,7 @@
         seeds: tuple[str, ...],
         task_group: anyio.abc.TaskGroup,
         rng: random.Random,
+        budget: ConnectionBudget,
     ) -> None:
         self.members = members
         self.channel = channel
@@ -80,7 +82,7 @@
         )
         self.task_group = task_group
         self.links = PeerLinks(greeting, task_group)
-        self.server = PeerServer(own.address)
+        self.server = PeerServer(own.address, budget=budget)
         self.server.handlers |= {
             "ping": self._on_ping,
             "fetch_view": self._on_fetch_view,
--- a/acaciarill/peers/_server.py
+++ b/acaciarill/peers/_server.py
@@ -1,6 +1,7 @@
 """Serve the calls of other daemons."""
 
 import ssl
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -9,12 +10,17 @@
 from anyio.streams.tls import TLSListener
 from eliot import log_message
 
-from ..addresses import split_address
+from ..connection_budget import KIND_DAEMONS, ConnectionBudget
 from ..errors import AcaciarillError, BadRequestError, Outcome, RefusedError, Step
-from ..listening import serve_connections
+from ..listening import abort_stream, listen, serve_connections
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
-from .const import GREETING_TIMEOUT_S, PROTOCOL_VERSION
+from .const import (
+    CALL_OVERHEAD_BYTES,
+    GREETING_TIMEOUT_S,
+    MAX_CONCURRENT_CALLS,
+    PROTOCOL_VERSION,
+)
 
 CallHandler = Callable[[Any], Awaitable[dict[str, Any]]]
 """Handle a request and return the member of the response frame by its name."""
@@ -32,9 +38,15 @@
     While `draining` is set, new streams are refused; `active_streams` counts the open ones.
     """
 
-    def __init__(self, address: str, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        tls: ssl.SSLContext | None = None,
+        budget: ConnectionBudget | None = None,
+    ) -> None:
         self.address = address
         self.tls = tls
+        self.budget = budget or ConnectionBudget(time.monotonic)
         self.handlers: dict[str, CallHandler] = {}
         self.stream_handlers: dict[str, StreamHandler] = {}
         self.push_handlers: dict[str, PushHandler] = {}
@@ -52,10 +64,7 @@
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Listen on the address and serve connections until cancelled."""
-        host, port = split_address(self.address)
-        listener: anyio.abc.Listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port
-        )
+        listener = await listen(self.address)
         if self.tls is not None:
             listener = TLSListener(listener, self.tls, standard_compatible=False)
         task_status.started()
@@ -72,7 +81,11 @@
                     continue
 
     async def _serve_connection(self, stream: anyio.abc.ByteStream) -> None:
-        frame_stream = FrameStream(stream)
+        account = self.budget.open(KIND_DAEMONS, lambda: abort_stream(stream))
+        if account is None:
+            await anyio.aclose_forcefully(stream)
+            return
+        frame_stream = FrameStream(stream, account)
         try:
             peer = await _read_greeting(frame_stream)
             self.connections[id(frame_stream)] = frame_stream
@@ -88,22 +101,41 @@
             self.closed_connection_bytes += frame_stream.bytes_sent + frame_stream.bytes_received
             with anyio.CancelScope(shield=True):
                 await frame_stream.aclose()
+            account.close()
 
     async def _receive_calls(
         self, frame_stream: FrameStream, peer: str, task_group: anyio.abc.TaskGroup
     ) -> None:
         """Start a handler for each call until the connection ends or a frame is malformed."""
+        calls = anyio.Semaphore(MAX_CONCURRENT_CALLS)
         try:
             while True:
+                await calls.acquire()
+                received_before = frame_stream.bytes_received
                 frame = await frame_stream.receive()
                 if frame.heartbeat is not None:
                     frame.heartbeat.daemon = peer
-                task_group.start_soon(self._handle_call, frame_stream, frame)
+                size = frame_stream.bytes_received - received_before + CALL_OVERHEAD_BYTES
+                task_group.start_soon(self._run_call, frame_stream, frame, size, calls)
         except CONNECTION_ERRORS:
             return
         except AcaciarillError as error:
             _log_rejected_frame(error)
 
+    async def _run_call(
+        self, frame_stream: FrameStream, frame: Any, size: int, calls: anyio.Semaphore
+    ) -> None:
+        """Handle a call and account for what it holds meanwhile, `size` bytes."""
+        account = frame_stream.account
+        if account is not None:
+            account.hold(size)
+        try:
+            await self._handle_call(frame_stream, frame)
+        finally:
+            calls.release()
+            if account is not None:
+                account.release(size)
+
     async def _handle_call(self, frame_stream: FrameStream, frame: Any) -> None:
         member = next(
             (
--- a/acaciarill/peers/const.py
+++ b/acaciarill/peers/const.py
@@ -3,6 +3,13 @@
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 LENGTH_PREFIX_BYTES = 4
+READ_CHUNK_BYTES = 64 * 1024
+MAX_CONCURRENT_CALLS = 1024
+"""Limit of the calls of one connection that run at a time; beyond it, no more are read."""
+CALL_OVERHEAD_BYTES = 4096
+"""What a call holds beside its frame."""
+SEND_TIMEOUT_S = 10.0
+"""How long another daemon may read nothing of what is sent to it."""
 MAX_CALL_ID = 2**31 - 1
 """The largest value of the signed 32-bit `call_id` field; call ids start again at 1 after it."""
 
--- a/tests/clients/test_related_crowds.py
+++ b/tests/clients/test_related_crowds.py
@@ -5,6 +5,9 @@
 
 import anyio
 
+from acaciarill.peers import messages
+from acaciarill.peers._codec import encode
+from acaciarill.peers.const import LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION
 from tests.clients.cases import (
     CLIENT_LIMITS,
     LARGE_BODIES,
@@ -28,6 +31,41 @@
 SLOW_BODIES = 12
 SLOW_PIECES = 6
 PIECE_PAUSE_S = 0.4
+FRAMES = 16
+CALLS_SENT_AHEAD = 20_000
+
+
+def frame(**member: object) -> bytes:
+    """Return a frame between daemons with one member."""
+    data = encode(messages.Frame(call_id=1, **member))
+    return len(data).to_bytes(LENGTH_PREFIX_BYTES, "big") + data
+
+
+def greeting() -> bytes:
+    """Return the frame with which a connection between daemons begins."""
+    return frame(
+        greeting=messages.Greeting(
+            protocol_version=PROTOCOL_VERSION,
+            daemon="stranger",
+            incarnation="stranger.1",
+            data_centre="a",
+        )
+    )
+
+
+def frame_that_stops_short() -> Iterator[bytes]:
+    """Yield a greeting and most of a frame of the largest size."""
+    yield greeting()
+    yield MAX_FRAME_BYTES.to_bytes(LENGTH_PREFIX_BYTES, "big")
+    yield b"x" * (MAX_FRAME_BYTES - 1)
+
+
+def calls_sent_ahead() -> Iterator[bytes]:
+    """Yield a greeting and many calls, of which none waits for its response."""
+    yield greeting()
+    call = frame(fetch_view=messages.FetchView(kind="config"))
+    for _ in range(CALLS_SENT_AHEAD * len(call) // PIECE_BYTES + 1):
+        yield call * (PIECE_BYTES // len(call))
 
 
 def endless_head() -> Iterator[bytes]:
@@ -71,6 +109,12 @@
         request = b"GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n"
         await self.check_beside([requests_sent_ahead(request) for _ in range(PIPELINES)], "metrics")
 
+    async def test_frames_of_strangers_that_stop_short(self) -> None:
+        await self.check_beside([frame_that_stops_short() for _ in range(FRAMES)], "peer")
+
+    async def test_calls_of_strangers_whose_responses_are_not_read(self) -> None:
+        await self.check_beside([calls_sent_ahead() for _ in range(PIPELINES)], "peer")
+
 
 class YieldTest(CrowdTestCase):
     """Check who gives way: what holds most for longest, not who comes last."""
