Do not send frames that the other daemon would not accept

What callers saw: nothing yet.

Cause: the limit of a frame was checked by its receiver alone.

The sender checks it too: the call fails alone, as not run, before a byte is sent. A batch then reaches its owner through the store, as when the owner cannot be reached.

--- a/acaciarill/peers/_framing.py
+++ b/acaciarill/peers/_framing.py
@@ -6,7 +6,7 @@
 import anyio.abc
 
 from ..connection_budget import ConnectionAccount
-from ..errors import BadRequestError, Step
+from ..errors import BadRequestError, Outcome, PeerError, Step
 from ._codec import decode, encode
 from ._messages import messages
 from .const import LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES, READ_CHUNK_BYTES, SEND_TIMEOUT_S
@@ -38,8 +38,18 @@
         self.bytes_received = 0
 
     async def send(self, frame: Any) -> None:
-        """Send one frame; raise one of CONNECTION_ERRORS if the connection is lost."""
+        """Send one frame; raise one of CONNECTION_ERRORS if the connection is lost.
+
+        Raise PeerError with the outcome NOT_RUN if the other daemon would not accept its size.
+        """
         data = encode(frame)
+        if len(data) > MAX_FRAME_BYTES:
+            raise PeerError(
+                f"frame is longer than {MAX_FRAME_BYTES} bytes",
+                step=Step.SEND,
+                outcome=Outcome.NOT_RUN,
+                code="frame-too-large",
+            )
         self.bytes_sent += LENGTH_PREFIX_BYTES + len(data)
         if self.account is None:
             await self._send(data)
--- a/acaciarill/relays/_client.py
+++ b/acaciarill/relays/_client.py
@@ -221,6 +221,10 @@
         )
         try:
             await exchange.frame_stream.send(messages.Frame(call_id=CALL_ID, relay=relay))
+        except PeerError as error:  # nothing was sent
+            raise UpstreamError(
+                error.message, step=Step.FORWARD, outcome=Outcome.NOT_RUN, code=error.code
+            ) from error
         except CONNECTION_ERRORS as error:
             raise exchange.build_error(
                 "connection to the relaying daemon was lost", Step.FORWARD
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -6,8 +6,10 @@
 import anyio
 import anyio.abc
 
-from acaciarill.errors import PeerError
-from acaciarill.peers import PeerLinks, messages
+from acaciarill.errors import Outcome, PeerError
+from acaciarill.peers import PeerLinks, PeerServer, messages
+from acaciarill.peers.const import MAX_FRAME_BYTES, PROTOCOL_VERSION
+from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.ports import free_port
 
 OVERSIZED_FRAME = b"\xff\xff\xff\xff" + b"x" * 1000
@@ -36,3 +38,38 @@
                     with self.assertRaises(PeerError):
                         await links.call(f"127.0.0.1:{port}", 2.0, ping=messages.Ping())
                 tasks.cancel_scope.cancel()
+
+
+class FrameSizeTest(PlainLoopTestCase):
+    """Guard against a call whose frame is too long: it closed the connection of all others."""
+
+    async def test_too_long_frame_is_not_sent_and_other_calls_go_on(self) -> None:
+        address = f"127.0.0.1:{free_port()}"
+        server = PeerServer(address)
+        running = anyio.Event()
+
+        async def answer_late(ping: messages.Ping) -> dict[str, messages.Ping]:
+            running.set()
+            await anyio.sleep(0.3)
+            return {"ping": ping}
+
+        server.handlers["ping"] = answer_late
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run)
+            greeting = messages.Greeting(protocol_version=PROTOCOL_VERSION, daemon="d")
+            links = PeerLinks(greeting, tasks)
+            answered: list[str] = []
+
+            async def ping() -> None:
+                frame = await links.call(address, 10.0, ping=messages.Ping(daemon="d"))
+                answered.append(frame.ping.daemon)
+
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(ping)
+                await running.wait()
+                long_call = messages.OwnBatch(batch="b", body=b"x" * MAX_FRAME_BYTES)
+                with self.assertRaises(PeerError) as caught:
+                    await links.call(address, 10.0, own_batch=long_call)
+                self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(answered, ["d"])
