Bound what submissions of batches make a daemon hold

Causes: (1) A daemon cached up to 32 submissions of any size, and an owner accepted any number of open batches. (2) A decoded JSON value takes up to 200 bytes, so that short ones take a hundred times their body. (3) A submission was held decoded as text, and cut into parts, beside its bytes.

Ruled out: the connections' budget, which ends with the request; what is accepted has to be kept until its batch ends.

- Cached submissions take an eighth of the process's memory at most; a runner keeps its own.
- A batch is refused (503, Retry-After, not run) while the open batches of its owner would exceed an eighth of the memory.
The parts that the heads of all batches name tell how much that is, so any daemon can decide it; a single batch always has room.
- A body with more values than fit into that share is refused (413) before it is decoded; commas and brackets are counted.
- Parts are cut one by one from the bytes, without a decoded copy if they are ASCII.

--- a/acaciarill/batches/__init__.py
+++ b/acaciarill/batches/__init__.py
@@ -16,6 +16,7 @@
 from ._runner import BatchRunner
 from ._runner_ports import RunnerPorts, select_priority_groups
 from ._scheduler import ActiveStream, EngineScheduler, SlotRequest
+from ._submission_limits import SubmissionLimits
 from ._texts import BatchTexts, TextCache, TextLimits
 
 __all__ = [
@@ -39,6 +40,7 @@
     "ScoreRequest",
     "StreamEvent",
     "Submission",
+    "SubmissionLimits",
     "TextCache",
     "TextLimits",
 ]
--- a/acaciarill/batches/_acceptance.py
+++ b/acaciarill/batches/_acceptance.py
@@ -20,11 +20,14 @@
 from ..mirrors import Record
 from ._heads import BatchHeadStore, part_key
 from ._model import BatchHead, Submission
+from ._submission_limits import SubmissionLimits, count_values, open_bytes
 from .const import (
     ACCEPT_TIMEOUT_S,
+    DEFAULT_RETENTION_S,
     END_TIMEOUT_S,
     KIND_HEADS,
     MAX_PART_CHARACTERS,
+    RETRY_AFTER_ROOM_S,
     WRITE_RETRY_DELAY_S,
 )
 
@@ -39,7 +42,11 @@
         send_to_owner: Callable[[str, bytes, bytes], Awaitable[None]],
         wall_clock: Callable[[], float],
         on_accepted: Callable[[str], None],
+        limits: SubmissionLimits | None = None,
+        retention_s: float = DEFAULT_RETENTION_S,
     ) -> None:
+        self.limits = limits or SubmissionLimits()
+        self.retention_s = retention_s
         self.on_accepted = on_accepted
         self.heads = heads
         self.choose_owner = choose_owner
@@ -59,36 +66,60 @@
 
         The error's outcome is NOT_RUN only if the head was certainly not written.
         """
+        if count_values(body) > self.limits.max_values:
+            raise BadRequestError(
+                f"batch has more than {self.limits.max_values} values",
+                step=Step.PARSE,
+                status=413,
+                code="too-many-values",
+            )
         submission = self.heads.decode_submission(body)
-        text = body.decode()
-        parts = [
-            text[i : i + MAX_PART_CHARACTERS] for i in range(0, len(text), MAX_PART_CHARACTERS)
-        ]
         digest = hashlib.blake2b(body, digest_size=8).hexdigest()
         if batch_id in self.heads.mirror.records:
             self._check_duplicate(
                 batch_id, customer, digest, self.heads.mirror.records[batch_id].value
             )
             return
+        owner = self.choose_owner(customer, path)
+        self._check_room(owner, body)
+        # Slices of ASCII bytes are those of the text, so no decoded copy of them is kept.
+        text = body if body.isascii() else body.decode()
         head = BatchHead(
             customer=customer,
             host=host,
             path=path,
             submitted_at=self.wall_clock(),
             total=len(submission.items),
-            parts=len(parts),
+            parts=-(-len(text) // MAX_PART_CHARACTERS),
             digest=digest,
-            owner=self.choose_owner(customer, path),
+            owner=owner,
             configuration=configuration,
         )
         with anyio.move_on_after(ACCEPT_TIMEOUT_S):
-            for index, part in enumerate(parts):
-                await self._store_part(part_key(batch_id, digest, index), orjson.dumps(part))
+            for index in range(head.parts):
+                start = index * MAX_PART_CHARACTERS
+                part = text[start : start + MAX_PART_CHARACTERS]
+                value = orjson.dumps(part if isinstance(part, str) else part.decode())
+                await self._store_part(part_key(batch_id, digest, index), value)
             await self._create_head(batch_id, head, submission)
             await self.send_to_owner(batch_id, body, b"[]")
             return
         raise StoreError("timed out while accepting the batch", step=Step.STORE, status=504)
 
+    def _check_room(self, owner: str, body: bytes) -> None:
+        """Raise RefusedError if the owner holds too much of other open batches."""
+        heads = []
+        for record in self.heads.mirror.records.values():
+            heads.append(BatchHead.from_value(record.value))
+        held_bytes = open_bytes(heads, owner, self.retention_s, self.wall_clock())
+        if held_bytes and held_bytes + len(body) > self.limits.total_bytes:
+            raise RefusedError(
+                "the open batches of the trainer's owner leave no room for another one",
+                step=Step.ADMIT,
+                peer=owner,
+                retry_after_s=RETRY_AFTER_ROOM_S,
+            )
+
     async def _store_part(self, key: str, value: bytes) -> None:
         try:
             await self.heads.store.put(key, value, 0)
--- a/acaciarill/batches/_heads.py
+++ b/acaciarill/batches/_heads.py
@@ -12,6 +12,7 @@
 from ..mirrors import Mirror, Record
 from ._log import ObjectAccess
 from ._model import BatchHead, Submission
+from ._submission_limits import SubmissionLimits, submission_bytes
 from .const import KIND_HEADS, KIND_PARTS, MAX_CACHED_BATCHES, WRITE_RETRY_DELAY_S
 
 
@@ -27,12 +28,18 @@
     """Read heads, replace them conditionally, and cache submissions."""
 
     def __init__(
-        self, mirror: Mirror, store: ObjectAccess, decode_submission: Callable[[bytes], Submission]
+        self,
+        mirror: Mirror,
+        store: ObjectAccess,
+        decode_submission: Callable[[bytes], Submission],
+        max_cached_bytes: int = SubmissionLimits().total_bytes,
     ) -> None:
         self.mirror = mirror
         self.store = store
         self.decode_submission = decode_submission
+        self.max_cached_bytes = max_cached_bytes
         self.submissions: OrderedDict[str, Submission] = OrderedDict()
+        self.cached_bytes = 0
 
     async def find(self, batch_id: str, customer: str) -> BatchHead:
         """Return the head of a customer's batch; raise NotFoundError, StoreError."""
@@ -84,7 +91,17 @@
 
     def cache_submission(self, batch_id: str, submission: Submission) -> None:
         """Cache a submission and evict the oldest entries."""
-        put_bounded(self.submissions, batch_id, submission)
+        if batch_id in self.submissions:
+            self._evict(batch_id)
+        self.submissions[batch_id] = submission
+        self.cached_bytes += submission_bytes(submission)
+        while len(self.submissions) > 1 and (
+            len(self.submissions) > MAX_CACHED_BATCHES or self.cached_bytes > self.max_cached_bytes
+        ):
+            self._evict(next(iter(self.submissions)))
+
+    def _evict(self, batch_id: str) -> None:
+        self.cached_bytes -= submission_bytes(self.submissions.pop(batch_id))
 
     async def load_body(self, batch_id: str, head: BatchHead) -> bytes:
         """Return the submitted bytes of a batch from the store; raise StoreError."""
--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -17,6 +17,7 @@
 from ._reading import ReadAtOwner, ResultReader
 from ._runner import BatchRunner
 from ._runner_ports import RunnerPorts
+from ._submission_limits import SubmissionLimits
 from ._texts import BatchTexts, TextCache, TextLimits
 from .const import (
     DEFAULT_RETENTION_S,
@@ -42,6 +43,7 @@
     runner: RunnerPorts
     task_group: anyio.abc.TaskGroup
     text_limits: TextLimits = field(default_factory=TextLimits)
+    submission_limits: SubmissionLimits = field(default_factory=SubmissionLimits)
 
 
 class BatchManager:
@@ -74,13 +76,17 @@
         self.released_ids: set[str] = set()
         self.texts = TextCache(ports.text_limits)
         self.draining = False
-        self.heads = BatchHeadStore(mirror, ports.store, ports.decode_submission)
+        self.heads = BatchHeadStore(
+            mirror, ports.store, ports.decode_submission, ports.submission_limits.total_bytes
+        )
         self.acceptance = Acceptance(
             self.heads,
             self._choose_owner,
             self._send_to_owner,
             ports.runner.wall_clock,
             lambda batch_id: self.runnable_ids.add(batch_id),
+            ports.submission_limits,
+            retention_s,
         )
         self.reader = ResultReader(
             self.heads, self.runners, ports.members, ports.read_at_owner, ports.runner.clock
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -14,6 +14,13 @@
 """Room in a stored object for what a result has besides its text."""
 TEXT_MEMORY_SHARE = 0.125
 """Share of the process's memory for unfinished texts, and as much again for reusable results."""
+SUBMISSION_MEMORY_SHARE = 0.125
+"""Share of the process's memory for the submissions of open batches, and as much again for cached
+ones."""
+VALUE_BYTES = 200
+"""Memory that one decoded JSON value may take."""
+ITEM_OVERHEAD_BYTES = 1500
+"""Memory that an item takes beside its bodies."""
 UNRESTRICTED_TEXT_BYTES = 64 * 1024
 """Longer texts may not grow while all texts together exceed their share of the memory."""
 MAX_PAGE_CHARACTERS = 700_000
@@ -42,6 +49,8 @@
 READ_TIMEOUT_MARGIN_S = 1.0
 """Time added to a reader's wait before the request to the owner times out."""
 END_TIMEOUT_S = 4.0
+RETRY_AFTER_ROOM_S = 1.0
+"""Retry-After of a batch for which its owner has no room."""
 
 MAX_TRACKED_GROUPS = 2000
 """Groups whose last engine is remembered: about ten steps of 512 samples in groups of 4."""
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -10,7 +10,14 @@
 import orjson
 from eliot import log_message
 
-from ..batches import BatchManager, BatchPorts, EngineScheduler, RunnerPorts, TextLimits
+from ..batches import (
+    BatchManager,
+    BatchPorts,
+    EngineScheduler,
+    RunnerPorts,
+    SubmissionLimits,
+    TextLimits,
+)
 from ..batches.const import CLAIM_PERIOD_S, KIND_HEADS
 from ..connection_budget import (
     CLOSE_STALLED_PERIOD_S,
@@ -276,6 +283,7 @@
                 TextLimits.from_settings(
                     self.settings.max_object_bytes, self.settings.memory_bytes
                 ),
+                SubmissionLimits.from_memory(self.settings.memory_bytes),
             ),
             self.settings.batch_retention_s,
         )
--- a/tests/clients/deployment.py
+++ b/tests/clients/deployment.py
@@ -206,11 +206,14 @@
                 address, method, target, headers, body, new_connection=True
             )
 
-    async def status(self, kind: str = "front", target: str = "/p/1") -> int:
+    async def status(
+        self, kind: str = "front", target: str = "/p/1", body: bytes = b"ordinary"
+    ) -> int:
         """Return the status of one ordinary request, 0 without a response."""
         try:
-            method, body = ("GET", b"") if kind == "ready" else ("POST", b"ordinary")
-            return (await self.call(kind, method, target, body)).head.status
+            if kind == "ready":
+                return (await self.call(kind, "GET", target)).head.status
+            return (await self.call(kind, "POST", target, body)).head.status
         except UpstreamError:
             return 0
 
--- a/tests/clients/test_related_crowds.py
+++ b/tests/clients/test_related_crowds.py
@@ -1,9 +1,11 @@
 """Test crowds on the paths beside those that the users reported, within the same limits."""
 
+import base64
 from collections.abc import Iterator
 from itertools import repeat
 
 import anyio
+import orjson
 
 from acaciarill.peers import messages
 from acaciarill.peers._codec import encode
@@ -16,11 +18,13 @@
     PIECE_BYTES,
     PIPELINES,
     CrowdTestCase,
+    PeakUsage,
     body_with_length,
     requests_sent_ahead,
 )
 from tests.clients.crowd import Crowd
-from tests.clients.deployment import MB, Deployment, running_deployment
+from tests.clients.deployment import MB, Deployment, ProcessLimits, running_deployment
+from tests.fakes.event_loop import PlainLoopTestCase
 
 LARGE_ANSWERS = 100
 """Together, they have one and a half times the memory of a process."""
@@ -32,6 +36,9 @@
 SLOW_PIECES = 6
 PIECE_PAUSE_S = 0.4
 FRAMES = 16
+LARGE_STEPS = 64
+"""Together, they have the memory of a process."""
+ITEM_BODY_BYTES = 50_000
 CALLS_SENT_AHEAD = 20_000
 
 
@@ -74,6 +81,14 @@
     yield b"X-Field: " + b"x" * (CLIENT_LIMITS["max_header_bytes"] - 100)
 
 
+def large_step() -> bytes:
+    """Return the submission of a batch of over half of the largest size."""
+    prompt = base64.b64encode(b"x" * ITEM_BODY_BYTES).decode()
+    count = MAX_BODY_BYTES // (2 * ITEM_BODY_BYTES)
+    items = [{"id": f"i{n}", "path": f"/b/x/{n}", "body": prompt} for n in range(count)]
+    return orjson.dumps({"step": 0, "model": "m", "items": items})
+
+
 class RelatedCrowdTest(CrowdTestCase):
     """Guard against the causes of the reported crowds on related paths."""
 
@@ -116,6 +131,66 @@
         await self.check_beside([calls_sent_ahead() for _ in range(PIPELINES)], "peer")
 
 
+class StepCrowdTest(PlainLoopTestCase):
+    """Guard against what is kept of batches after their submissions were read."""
+
+    async def submit(
+        self,
+        bodies: list[bytes],
+        limits: ProcessLimits,
+        client_limits: dict[str, int],
+        at_once: int,
+    ) -> set[int]:
+        """Submit batches whose items wait, check the process, and return the statuses."""
+        statuses: set[int] = set()
+        turns = anyio.Semaphore(at_once)
+
+        async with running_deployment(limits, client_limits) as deployment:
+
+            async def submit_one(body: bytes) -> None:
+                async with turns:
+                    statuses.add(await deployment.status("front", "/b/x", body))
+
+            usage, daemon = PeakUsage(), deployment.front
+            deployment.engine.deregister()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(usage.watch, daemon)
+                async with anyio.create_task_group() as submissions:
+                    for body in bodies:
+                        submissions.start_soon(submit_one, body)
+                ordinary_status = await deployment.status()
+                tasks.cancel_scope.cancel()
+            is_running = daemon.is_running()
+        self.assertEqual((ordinary_status, is_running), (200, True))
+        self.assertLess(usage.memory_bytes, limits.memory_mb * MB)
+        return statuses
+
+    async def test_large_steps_one_after_the_other(self) -> None:
+        statuses = await self.submit([large_step()] * LARGE_STEPS, LIMITS, CLIENT_LIMITS, 1)
+        self.assertLessEqual(statuses, {202, 503})
+
+    async def test_large_steps_at_once(self) -> None:
+        statuses = await self.submit([large_step()] * LARGE_STEPS, LIMITS, CLIENT_LIMITS, 16)
+        self.assertLessEqual(statuses, {202, 503})
+
+    async def test_steps_of_many_small_values(self) -> None:
+        for name, value in (("lists", b"[],"), ("maps", b"{},"), ("numbers", b"1.5,")):
+            with self.subTest(name):
+                many = value * ((MAX_BODY_BYTES - 100) // len(value))
+                body = b'{"step":0,"model":"m","items":[' + many + b"0]}"
+                statuses = await self.submit([body] * 4, LIMITS, CLIENT_LIMITS, 4)
+                self.assertLessEqual(statuses, {400, 413})
+
+    async def test_step_of_the_largest_legal_size_is_accepted(self) -> None:
+        limits = ProcessLimits(memory_mb=160)
+        client_limits = CLIENT_LIMITS | {"max_body_bytes": 32 * MB}
+        prompt = base64.b64encode(b"x" * 60_000).decode()
+        items = [{"id": f"i{n}", "path": f"/b/{n}", "body": prompt} for n in range(410)]
+        body = orjson.dumps({"step": 0, "model": "m", "items": items})
+        self.assertGreater(len(body), 31 * MB)
+        self.assertEqual(await self.submit([body], limits, client_limits, 1), {202})
+
+
 class YieldTest(CrowdTestCase):
     """Check who gives way: what holds most for longest, not who comes last."""
 
