Bound the bodies that callers make the product's own daemon hold

What callers saw: nothing yet. 40 clients with a key whose bodies of 8 MB, a legal size, stopped short took `acaciarill serve` to 405 MB, whole and in chunks; its settings had no limit of memory at all.

Cause: as at the fleet's daemon, a body was bounded alone, not the sum; a body of which nothing more came was waited for without a limit; the operators' endpoints read bodies of any size.

`[process] memory_bytes` (default 256 MB, 64 MB at least) states the memory. Bodies count in a budget as connections of the fleet's daemon do, until their request has ended, and so do the connections of other daemons. A body without room is refused with 503 and Retry-After, at its head if its length is known; one that stalls for 15 s with 408; operators' bodies end at 8 MB. Connections without a body under way are left to the server's own limits (64 KB read ahead, 60 s idle), which were looked at, not changed; their number is not bounded here.

--- a/acaciarill/callers/_app.py
+++ b/acaciarill/callers/_app.py
@@ -1,6 +1,7 @@
 """Serve callers' requests as an ASGI application."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 
 import anyio
 import httpx
@@ -8,6 +9,7 @@
 
 from ..config import ConfigCoordinator, Route
 from ..config.const import ACCESS_OPEN
+from ..connection_budget import ConnectionBudget
 from ..const import HEADER_IDEMPOTENCY_KEY, HEADER_REQUEST_ID, MS_PER_S, RETRY_AFTER_SHORT_S
 from ..errors import (
     AcaciarillError,
@@ -21,7 +23,7 @@
 from ..telemetry import Telemetry
 from ..upstreams import Dispatcher, UpstreamRequest, UpstreamResponse, filter_request_headers
 from ..usage import UsageCounter
-from ..web import CallerGoneError, Receive, Scope, Send, read_body, send_response
+from ..web import CallerGoneError, Receive, Scope, Send, held_body, send_response
 from ._admission import Admission
 from ._claims import ClaimStore
 from ._durations import DurationEstimator
@@ -63,7 +65,9 @@
         telemetry: Telemetry,
         clock: Callable[[], float],
         steps: StepsHandler,
+        budget: ConnectionBudget,
     ) -> None:
+        self.budget = budget
         self.config = config
         self.authenticator = authenticator
         self.admission = admission
@@ -123,25 +127,32 @@
         if path == PATH_STEPS or path.startswith(PATH_STEPS + "/"):
             caller = self.authenticator.authenticate(headers.get(b"authorization", ""))
             labels |= {"customer": caller.customer, "route": PATH_STEPS}
-            body = await read_body(receive)
+            async with self._held_body(headers, receive) as body:
 
-            async def serve_steps(exchange: Exchange) -> None:
-                await self._serve_steps(scope, body, exchange, send)
+                async def serve_steps(exchange: Exchange) -> None:
+                    await self._serve_steps(scope, body, exchange, send)
 
-            await self._run_exchange(caller, STEPS_TIMEOUT_S, receive, serve_steps)
+                await self._run_exchange(caller, STEPS_TIMEOUT_S, receive, serve_steps)
             return
         route, caller = self._find_route(path, headers)
         labels |= {"customer": caller.customer, "route": route.path}
-        body = await read_body(receive)
-        request, cost_tokens, generate = self._build_request(
-            scope, headers, route, caller, body, trace_parent
-        )
+        async with self._held_body(headers, receive) as body:
+            request, cost_tokens, generate = self._build_request(
+                scope, headers, route, caller, body, trace_parent
+            )
 
-        async def serve_route(exchange: Exchange) -> None:
-            await self._serve_route(route, request, cost_tokens, generate, headers, exchange, send)
+            async def serve_route(exchange: Exchange) -> None:
+                await self._serve_route(
+                    route, request, cost_tokens, generate, headers, exchange, send
+                )
 
-        remaining_s = request.deadline - self.clock()
-        await self._run_exchange(caller, remaining_s, receive, serve_route)
+            remaining_s = request.deadline - self.clock()
+            await self._run_exchange(caller, remaining_s, receive, serve_route)
+
+    def _held_body(
+        self, headers: dict[bytes, str], receive: Receive
+    ) -> AbstractAsyncContextManager[bytes]:
+        return held_body(receive, headers.get(b"content-length", ""), self.budget)
 
     async def _run_exchange(
         self,
--- a/acaciarill/daemon.py
+++ b/acaciarill/daemon.py
@@ -1,6 +1,7 @@
 """Build one daemon from its components and run it."""
 
 import random
+import resource
 import signal
 import time
 import zlib
@@ -24,6 +25,7 @@
 from .capacity import CapacityOrders, Demand
 from .capacity.const import DECISION_PERIOD_S
 from .config import ConfigCoordinator, ConfigStore
+from .connection_budget import CLOSE_STALLED_PERIOD_S, ConnectionBudget, ConnectionLimits
 from .daemons import DemandTable, HeartbeatService, Membership, OccupancyTable
 from .daemons.const import HEARTBEAT_PERIOD_S
 from .data_folder import DataFolder
@@ -105,7 +107,14 @@
         self.store = self.ports.store
         self.config_store = ConfigStore(self.store)
         self.tls = TlsContexts(settings)
-        self.server = PeerServer(settings.daemons, self.tls.peer_server)
+        max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.budget = ConnectionBudget(
+            clock,
+            ConnectionLimits.from_settings(settings.memory_bytes, max_descriptors),
+            lambda reason: self.telemetry.closed_connections.add(1, {"reason": reason}),
+            lambda reason: self.telemetry.refused_bodies.add(1, {"reason": reason}),
+        )
+        self.server = PeerServer(settings.daemons, self.tls.peer_server, self.budget)
         greeting = messages.Greeting(
             protocol_version=PROTOCOL_VERSION,
             daemon=self.name,
@@ -181,6 +190,7 @@
             self.telemetry,
             clock,
             self.steps_app.serve,
+            self.budget,
         )
 
     def _build_duties(self) -> None:
@@ -325,6 +335,7 @@
         subscribe(HEARTBEAT_PERIOD_S, self.heartbeats.exchange_heartbeats)
         subscribe(ADMIT_PERIOD_S, self._admit_waiting)
         subscribe(HEARTBEAT_PERIOD_S, self.callers.abort_unverified)
+        subscribe(CLOSE_STALLED_PERIOD_S, self._close_stalled_connections)
         subscribe(LOAD_POLL_PERIOD_S, self.upstreams.poll_loads)
         subscribe(USAGE_COPY_PERIOD_S, self.usage_shards.send_copies)
         subscribe(USAGE_FLUSH_PERIOD_S, self.usage_shards.flush)
@@ -332,6 +343,9 @@
         subscribe(CERTIFICATE_RELOAD_PERIOD_S, self.tls.reload)
         subscribe(self.settings.export_period_s, self._export)
 
+    async def _close_stalled_connections(self) -> None:
+        self.budget.close_stalled()
+
     async def _export(self) -> None:
         await self.telemetry.export(self.upstream_client.control_http)
 
--- a/acaciarill/operators/_app.py
+++ b/acaciarill/operators/_app.py
@@ -11,6 +11,7 @@
 
 from ..callers import new_key
 from ..config.const import SECTION_PREFIX
+from ..const import MAX_BODY_BYTES
 from ..daemons.const import SOURCE_STORE
 from ..errors import AcaciarillError, BadRequestError, Step, StoreConflictError
 from ._daemon import OperatedDaemon
@@ -235,8 +236,18 @@
 
 
 async def _read_json(request: Request) -> dict[str, Any]:
+    data = bytearray()
+    async for chunk in request.stream():
+        data += chunk
+        if len(data) > MAX_BODY_BYTES:
+            raise BadRequestError(
+                f"request body exceeds {MAX_BODY_BYTES} bytes",
+                step=Step.PARSE,
+                status=413,
+                code="too-large",
+            )
     try:
-        body = orjson.loads(await request.body())
+        body = orjson.loads(data)
     except orjson.JSONDecodeError as error:
         raise BadRequestError("the request body is not valid JSON", step=Step.PARSE) from error
     if not isinstance(body, dict):
--- a/acaciarill/settings.py
+++ b/acaciarill/settings.py
@@ -20,6 +20,8 @@
 DEFAULT_TRACE_RATIO = 0.01
 DEFAULT_EXPORT_PERIOD_S = 10.0
 DEFAULT_MAX_CONCURRENT = 256
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+MIN_MEMORY_BYTES = 64 * 1024 * 1024
 DEFAULT_SAMPLE_MEMORY_BYTES = 64 * 1024 * 1024
 
 SETTINGS_SCHEMA = vol.Schema(
@@ -31,6 +33,9 @@
             vol.Optional("max_concurrent", default=DEFAULT_MAX_CONCURRENT): vol.All(
                 int, vol.Range(min=1)
             ),
+            vol.Optional("memory_bytes", default=DEFAULT_MEMORY_BYTES): vol.All(
+                int, vol.Range(min=MIN_MEMORY_BYTES)
+            ),
             vol.Optional("sample_memory_bytes", default=DEFAULT_SAMPLE_MEMORY_BYTES): vol.All(
                 int, vol.Range(min=1)
             ),
@@ -84,6 +89,7 @@
     weight_store: str
     data_folder: str = ""
     max_concurrent: int = DEFAULT_MAX_CONCURRENT
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     sample_memory_bytes: int = DEFAULT_SAMPLE_MEMORY_BYTES
     trace_ratio: float = DEFAULT_TRACE_RATIO
     otlp_endpoint: str = ""
--- a/acaciarill/telemetry.py
+++ b/acaciarill/telemetry.py
@@ -72,6 +72,10 @@
         self.request_seconds = meter.create_histogram("acaciarill_request_seconds", unit="s")
         self.tokens = meter.create_counter("acaciarill_tokens", unit="1")
         self.stopped_orders = meter.create_counter("acaciarill_orders_stopped", unit="1")
+        self.closed_connections = meter.create_counter(
+            "acaciarill_client_connections_closed", unit="1"
+        )
+        self.refused_bodies = meter.create_counter("acaciarill_client_refusals", unit="1")
         self.samples = meter.create_counter("acaciarill_samples", unit="1")
 
     @contextmanager
--- a/tests/clients/cases.py
+++ b/tests/clients/cases.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import Protocol
 
 import anyio
 
 from tests.clients.crowd import Crowd
 from tests.clients.deployment import (
     MB,
-    DaemonProcess,
     Deployment,
     ProcessLimits,
     running_deployment,
@@ -67,6 +67,22 @@
         yield request * count
 
 
+class MeasuredProcess(Protocol):
+    """Tell what a process uses."""
+
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+
+    def resident_bytes(self, field: str = ...) -> int:
+        """Return the resident memory, or with `VmHWM` the most that there ever was."""
+
+    def unread_bytes(self) -> int:
+        """Return the bytes that have arrived and were not read yet."""
+
+    def descriptor_count(self) -> int:
+        """Return how many descriptors the process has open."""
+
+
 @dataclass(slots=True)
 class PeakUsage:
     """Hold the most memory, with unread bytes, and descriptors that a process was seen to use."""
@@ -74,7 +90,7 @@
     memory_bytes: int = 0
     descriptors: int = 0
 
-    async def watch(self, daemon: DaemonProcess) -> None:
+    async def watch(self, daemon: MeasuredProcess) -> None:
         """Measure again and again, until cancelled or until the process has ended."""
         while daemon.is_running():
             self.memory_bytes = max(
--- a/tests/clients/deployment.py
+++ b/tests/clients/deployment.py
@@ -22,6 +22,7 @@
 from acaciarill.edge import EdgeLimits, HttpPool, HttpResponse, Request, Responder
 from acaciarill.errors import UpstreamError
 from acaciarill.platform.const import METRICS_PORT, SETTINGS_VARIABLE
+from tests.clients.usage import descriptor_count, resident_bytes, unread_bytes
 from tests.fakes.ports import free_port
 from tests.platform.fakes import FakeDutyApi, FakeReplica, FakeStore, configuration
 
@@ -30,7 +31,6 @@
 ANSWER_TIMEOUT_S = 60.0
 """Both only end a test that hangs; nothing is measured in time."""
 PASSED_VARIABLES = ("PATH", "HOME", "LANG")
-TCP_LISTEN = "0A"
 MB = 1024 * 1024
 MAX_REPLICA_BODY_BYTES = 64 * MB
 
@@ -88,26 +88,16 @@
     def resident_bytes(self, field: str = "VmRSS") -> int:
         """Return the resident memory, or with `VmHWM` the most that there ever was."""
         assert self.process is not None
-        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith(f"{field}:"):
-                return int(line.split()[1]) * 1024
-        return 0
+        return resident_bytes(self.process.pid, field)
 
     def unread_bytes(self) -> int:
         """Return the bytes that have arrived at the process's address and were not read yet."""
-        octets = reversed(socket.inet_aton(self.host))
-        own_address = "".join(f"{octet:02X}" for octet in octets)
-        unread = 0
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            fields = line.split()
-            if fields[1].startswith(own_address + ":") and fields[3] != TCP_LISTEN:
-                unread += int(fields[4].partition(":")[2], 16)
-        return unread
+        return unread_bytes(self.host)
 
     def descriptor_count(self) -> int:
         """Return how many descriptors the process has open."""
         assert self.process is not None
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        return descriptor_count(self.process.pid)
 
     def kill(self) -> None:
         """End the process at once."""
