Check the structure of frames before they are decoded, and soak odd clients

What callers saw: nothing yet. The process hangs for all its callers, or is ended.

Cause: the decoder trusts the sizes that containers name, also those of fields that it only skips. The test of arbitrary bytes had frames of up to 120 bytes that a generator chose, and no bound of memory.

Each frame is walked over before it is decoded: containers have to fit into their frame, all of them together have 100,000 elements at most, structs and containers nest 32 deep.

The soak (tests.clients.test_odd_clients_soak) runs ordinary clients beside odd ones at all listeners of both processes: drawn methods, paths, keys, sizes, framings, pieces, pauses, half closes, resets, requests sent ahead, bytes that are no requests, frames of drawn sizes. It failed before, and passes now.

--- a/acaciarill/peers/_codec.py
+++ b/acaciarill/peers/_codec.py
@@ -6,6 +6,7 @@
 from thriftpy2.utils import deserialize, serialize
 
 from ..errors import BadRequestError, Step
+from ._frame_check import check_structure
 
 T = TypeVar("T")
 
@@ -21,6 +22,7 @@
     """Return the message that the bytes encode; raise BadRequestError if they are malformed."""
     message = message_type()
     try:
+        check_structure(data)
         deserialize(message, data, _PROTOCOL_FACTORY)
     except Exception as error:  # thriftpy2 raises errors of many types for malformed bytes
         raise BadRequestError(
--- a/acaciarill/peers/const.py
+++ b/acaciarill/peers/const.py
@@ -2,6 +2,9 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_ELEMENTS = 100_000
+"""Limit of the elements of all containers in a message: a decoded one takes hundreds of bytes."""
+MAX_STRUCT_DEPTH = 32
 LENGTH_PREFIX_BYTES = 4
 READ_CHUNK_BYTES = 64 * 1024
 MAX_CONCURRENT_CALLS = 1024
--- a/tests/clients/deployment.py
+++ b/tests/clients/deployment.py
@@ -113,9 +113,11 @@
     def __init__(self, store: FakeStore, name: str, service: str, zone: str) -> None:
         super().__init__(store, name, service, zone, {})
         self.answer_bytes = 0
+        self.request_ids: list[str] = []
         self.server.limits = lambda: EdgeLimits(max_body_bytes=MAX_REPLICA_BODY_BYTES)
 
     async def serve(self, request: Request, responder: Responder) -> None:
+        self.request_ids.append(request.get(b"x-acaciarill-attempt-id"))
         await anyio.sleep(self.response_delay_s)
         body = b"x" * self.answer_bytes or b"%d bytes" % len(request.body)
         await responder.send_response(200, self._response_headers(request), body)
@@ -182,12 +184,15 @@
         ]
         return "\n".join(lines) + "\n"
 
-    async def call(self, kind: str, method: str, target: str, body: bytes = b"") -> HttpResponse:
+    async def call(
+        self, kind: str, method: str, target: str, body: bytes = b"", name: str = ""
+    ) -> HttpResponse:
         """Send one ordinary request on a new connection and return the response."""
+        request_id = name or f"ordinary-{random.getrandbits(60)}"
         headers = [
             (b"Host", b"h.example"),
             (b"Authorization", b"Bearer key-1"),
-            (b"X-Acaciarill-Attempt-Id", b"ordinary-%d" % random.getrandbits(60)),
+            (b"X-Acaciarill-Attempt-Id", request_id.encode()),
             (b"X-Acaciarill-Deadline-Ms", b"3000"),
         ]
         address = self.front.address(kind)
