Test a planned stop beside a crowd

A crowd of stalled bodies, unread answers and heads without an end does not keep a process from ending by itself after SIGTERM.

--- a/tests/clients/test_related_crowds.py
+++ b/tests/clients/test_related_crowds.py
@@ -1,6 +1,7 @@
 """Test crowds on the paths beside those that the users reported, within the same limits."""
 
 import base64
+import signal
 from collections.abc import Iterator
 from itertools import repeat
 
@@ -23,7 +24,13 @@
     requests_sent_ahead,
 )
 from tests.clients.crowd import Crowd
-from tests.clients.deployment import MB, Deployment, ProcessLimits, running_deployment
+from tests.clients.deployment import (
+    ANSWER_TIMEOUT_S,
+    MB,
+    Deployment,
+    ProcessLimits,
+    running_deployment,
+)
 from tests.fakes.event_loop import PlainLoopTestCase
 
 LARGE_ANSWERS = 100
@@ -220,3 +227,25 @@
                     response = await deployment.call("front", "POST", "/p/1", b"x" * MAX_BODY_BYTES)
                     tasks.cancel_scope.cancel()
         self.assertEqual(response.head.status, 200)
+
+
+class StopTest(PlainLoopTestCase):
+    """Guard against a crowd that holds up a planned stop."""
+
+    async def test_process_stops_by_itself_beside_a_crowd(self) -> None:
+        request = b"GET /s/1 HTTP/1.1\r\nHost: h.example\r\n\r\n"
+        async with running_deployment(LIMITS, CLIENT_LIMITS) as deployment:
+            daemon = deployment.front
+            with Crowd(daemon.address("front")) as crowd:
+                await crowd.send_all(
+                    [body_with_length(MAX_BODY_BYTES, PIECE_BYTES) for _ in range(LARGE_BODIES)]
+                    + [requests_sent_ahead(request) for _ in range(PIPELINES)]
+                    + [endless_head() for _ in range(LARGE_BODIES)]
+                )
+                assert daemon.process is not None
+                daemon.process.send_signal(signal.SIGTERM)
+                with anyio.fail_after(ANSWER_TIMEOUT_S):
+                    while daemon.is_running():
+                        await anyio.sleep(0.05)
+            exit_code = daemon.process.returncode
+        self.assertEqual(exit_code, 0)
