Keep a process alive when one connection fails while it is closed

What callers saw: nothing yet. A client of HTTP/1.0 that reset its connection while a streamed response was sent to it ended the process, with the requests of everybody.

Cause: the end of an incomplete HTTP/1.0 response is marked by a reset, so an option is set on the socket before the close. The transport has closed the socket already when the client has reset it; the error was raised outside of all handlers and ended the listener's task group, which is the process's.

The option is set only if there still is a socket, and an error of any connection, whatever it is, is logged by the one function through which all listeners serve.

The soak itself is mended: it closed sockets that a task still waited for.

--- a/acaciarill/edge/_connection.py
+++ b/acaciarill/edge/_connection.py
@@ -168,8 +168,9 @@
     async def close(self) -> None:
         """Close the connection; read what the client still sends unless it must be aborted."""
         if self._ends_early():
-            raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            with suppress(OSError):  # a lost connection has no socket any more
+                raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.must_abort = True
         if not self.must_abort and self.server.may_linger():
             self.server.lingering_count += 1
--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -106,6 +106,8 @@
             log_message(message_type="edge:connection_failed", error=repr(error))
         finally:
             self.connections.discard(connection)
-            with anyio.CancelScope(shield=True):
-                await connection.close()
-            account.close()
+            try:
+                with anyio.CancelScope(shield=True):
+                    await connection.close()
+            finally:
+                account.close()
--- a/acaciarill/listening.py
+++ b/acaciarill/listening.py
@@ -43,7 +43,10 @@
 
     async def serve_paused(stream: Any) -> None:
         pause_reading(stream)
-        await handler(stream)
+        try:
+            await handler(stream)
+        except Exception as error:  # an error on one connection must not stop the server
+            log_message(message_type="listener:connection_failed", error=repr(error))
 
     while True:
         failed = None
--- a/tests/clients/test_odd_clients_soak.py
+++ b/tests/clients/test_odd_clients_soak.py
@@ -6,6 +6,7 @@
 import os
 import random
 from collections import deque
+from contextlib import suppress
 
 import anyio
 import orjson
@@ -25,6 +26,7 @@
 ORDINARY_CLIENTS = 4
 MAX_ORDINARY_BODY_BYTES = 60_000
 KINDS = ("front",) * 8 + ("ready", "metrics", "peer")
+LOG_END_CHARACTERS = 3000
 FREED_TIMEOUT_S = 30.0
 """Only ends a test that hangs."""
 
@@ -32,6 +34,8 @@
 class OddClientsSoakTest(PlainLoopTestCase):
     """Check all that holds at any time: memory, descriptors, answers, and who has run."""
 
+    maxDiff = None
+
     def setUp(self) -> None:
         self.rng = random.Random(SEED)
         self.answered = 0
@@ -56,9 +60,13 @@
                     client.close()
                 held = await self.held_when_all_are_gone(deployment)
                 tasks.cancel_scope.cancel()
-            running = [daemon.is_running() for daemon in deployment.daemons.values()]
+            ended = {
+                name: daemon.log_path.read_text()[-LOG_END_CHARACTERS:]
+                for name, daemon in deployment.daemons.items()
+                if not daemon.is_running()
+            }
             ran = set(deployment.web.request_ids)
-        self.assertEqual(running, [True] * len(running))
+        self.assertEqual(ended, {})
         for name, peak in usage.items():
             self.assertLess(peak.memory_bytes, LIMITS.memory_mb * MB, name)
             self.assertLess(peak.descriptors, LIMITS.max_fds, name)
@@ -80,6 +88,7 @@
             try:
                 await client.run(address, is_peer)
             finally:
+                open_clients.append(client)
                 turns.release()
 
         number = 0
@@ -92,7 +101,6 @@
                 daemon = self.rng.choice(daemons) if is_everywhere else deployment.front
                 seed = self.rng.getrandbits(60)
                 client = OddClient(random.Random(seed), number, MAX_BODY_BYTES)
-                open_clients.append(client)
                 if len(open_clients) > MAX_OPEN_ODD_CLIENTS:
                     open_clients.popleft().close()
                 clients.start_soon(run, client, daemon.address(kind), kind == "peer")
@@ -134,8 +142,9 @@
         """Return what connections hold once all odd ones are closed; wait until it is nothing."""
         held = -1
         with anyio.move_on_after(FREED_TIMEOUT_S):
-            while held != 0:
-                response = await deployment.call("metrics", "GET", "/v1/status")
-                held = orjson.loads(response.body)["connections"]["held_bytes"]
+            while held != 0 and deployment.front.is_running():
+                with suppress(UpstreamError):
+                    response = await deployment.call("metrics", "GET", "/v1/status")
+                    held = orjson.loads(response.body)["connections"]["held_bytes"]
                 await anyio.sleep(0.1)
         return held
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -1,5 +1,7 @@
 """Test the HTTP server: limits, framing, persistent connections and disconnecting clients."""
 
+import socket
+import struct
 import unittest
 from dataclasses import replace
 
@@ -144,3 +146,34 @@
         head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
         await self.exchange(head, b"3\r\nabc\r\n", b"2\r\nde\r\n0\r\n\r\n")
         self.assertEqual(self.requests[0].body, b"abcde")
+
+    # Found by the soak of odd clients: such a client ended the process.
+    async def test_client_of_http_1_0_that_resets_a_streamed_response_leaves_the_server(
+        self,
+    ) -> None:
+        port = free_port()
+        started = anyio.Event()
+
+        async def handle(request: Request, responder: Responder) -> None:
+            await responder.start(200, [])
+            await responder.send(b"part")
+            started.set()
+            while request.target == "/stream":
+                await responder.send(b"x" * 0x10000)
+                await anyio.sleep(0.01)
+            await responder.finish()
+
+        server = EdgeServer(f"127.0.0.1:{port}", handle, anyio.current_time)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run)
+            for _ in range(5):
+                client = socket.create_connection(("127.0.0.1", port))
+                client.sendall(b"GET /stream HTTP/1.0\r\nHost: h\r\n\r\n")
+                await started.wait()
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                client.close()
+                await anyio.sleep(0.1)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+                self.assertIn(b"HTTP/1.1 200", await stream.receive())
+            tasks.cancel_scope.cancel()
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -12,7 +12,7 @@
 import anyio.abc
 
 from acaciarill.edge import EdgeServer, Request, Responder
-from acaciarill.listening import serve_connections
+from acaciarill.listening import listen, serve_connections
 from acaciarill.peers import PeerServer
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.ports import free_port
@@ -94,3 +94,23 @@
             self.assertEqual(listener.errors, [])
             with self.assertRaises(ExceptionGroup):
                 await serve_connections(FailingListener(errno.EBADF), handle, tasks)  # type: ignore[arg-type]
+
+    async def test_error_on_one_connection_does_not_stop_the_server(self) -> None:
+        served: list[bytes] = []
+
+        async def handle(stream: anyio.abc.SocketStream) -> None:
+            served.append(await stream.receive())
+            raise RuntimeError("unexpected")
+
+        listener = await listen(f"127.0.0.1:{free_port()}")
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_connections, listener, handle, tasks)
+            with anyio.fail_after(TIMEOUT_S):
+                for number in range(2):
+                    async with await anyio.connect_tcp(*address) as client:
+                        await client.send(b"%d" % number)
+                        while len(served) <= number:
+                            await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(served, [b"0", b"1"])
