Let callers through beside many clients that send requests ahead

What callers saw: in a trial, 600 clients that sent 3,000 requests each ahead at a public route left a process within its memory, but one ordinary request had no answer within 60 s (160 MB), or found its connection closed (300 MB).

Causes: (1) Connections were accepted one after the other, several turns of the event loop each; turns are long while hundreds of requests run, so a newcomer waited behind the crowd in the kernel's queue. (2) Each connection began its next request at once, so the crowd had the processor. (3) What running requests' clients send ahead could not give way, so small bodies of others found no room.

All connections that wait are accepted at once. Requests that were sent ahead begin eight at a time, in the order in which they asked; a first request, and those of clients that wait for their answers, never wait for that. A client that has sent more ahead than is read gives way even while its request runs.

The test of errors of accept is rewritten, as connections are no longer accepted by the library: the same errors, in the same turn, are raised by the socket now, and the one that does not pass has to come out as itself.

--- a/acaciarill/connection_budget/_budget.py
+++ b/acaciarill/connection_budget/_budget.py
@@ -29,7 +29,8 @@
     """Account for what one connection makes the process hold.
 
     While `is_running` is set, a request of the connection runs, and the connection gives way only
-    while it sends. `is_ending` is set before `give_way` is called, which has to end the connection;
+    while it sends, or while `is_overfull` says that its client has sent more ahead than is read.
+    `is_ending` is set before `give_way` is called, which has to end the connection;
     an account that is ending counts no content any more. `measure_unsent`
     returns the bytes that the client's host has not confirmed.
     """
@@ -40,6 +41,7 @@
         "is_ending",
         "give_way",
         "held_bytes",
+        "is_overfull",
         "is_running",
         "kind",
         "measure_unsent",
@@ -61,6 +63,7 @@
         self.progress_at = now
         self.progress_bytes = 0
         self.is_running = False
+        self.is_overfull = False
         self.is_ending = False
         self.sending_since: float | None = None
         self.send_timeout_s = 0.0
@@ -70,7 +73,7 @@
     @property
     def may_yield(self) -> bool:
         """Return whether the connection may give way."""
-        return not self.is_running or self.sending_since is not None
+        return not self.is_running or self.sending_since is not None or self.is_overfull
 
     def hold(self, size: int) -> None:
         """Account for bytes that are held; other connections, or this one, may give way."""
--- a/acaciarill/edge/_connection.py
+++ b/acaciarill/edge/_connection.py
@@ -108,34 +108,54 @@
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
-        while True:
-            request = await self._read_request()
-            if request is None:
-                return
-            self.server.active_requests += 1
-            self.account.is_running = True
-            self._account_buffered()
-            try:
-                responder = Responder(self)
-                await self._run_handler(request, responder)
-            finally:
-                self.server.active_requests -= 1
-                self.account.is_running = False
-            del request  # and its body, while the next one is awaited
-            self.account.resize_body(0)
-            self.account.record_step(self.server.clock())
-            if not responder.finished or not self._start_next_cycle():
-                return
+        while await self._wait_for_turn() and await self._serve_next():
+            pass
+
+    async def _wait_for_turn(self) -> bool:
+        """Let few requests that were sent ahead begin at a time, of all connections together.
+
+        Otherwise clients that send ahead would leave the others a small part of the processor.
+        Return whether the connection may go on.
+        """
+        if not self.protocol.trailing_data[0]:
+            return True
+        with anyio.CancelScope() as scope:
+            self.receive_scope = scope
+            async with self.server.sent_ahead_limiter:
+                await anyio.lowlevel.checkpoint()
+        self.receive_scope = None
+        return not scope.cancelled_caught
+
+    async def _serve_next(self) -> bool:
+        """Serve the next request; return whether another one may follow."""
+        request = await self._read_request()
+        if request is None:
+            return False
+        self.server.active_requests += 1
+        self.account.is_running = True
+        self._account_buffered()
+        try:
+            responder = Responder(self)
+            await self._run_handler(request, responder)
+        finally:
+            self.server.active_requests -= 1
+            self.account.is_running = False
+        self.account.resize_body(0)
+        self.account.record_step(self.server.clock())
+        return responder.finished and self._start_next_cycle()
 
     def give_way(self) -> None:
         """End the connection, since others need what it holds.
 
         A request that is being received is answered with 503; a connection that is idle, or whose
-        client does not read its response, is aborted.
+        client does not read its response or sends too much ahead, is aborted.
         """
-        if self.account.sending_since is not None or self.idle_scope is not None:
+        account = self.account
+        if account.is_overfull or account.sending_since is not None or self.idle_scope is not None:
             self.must_abort = True
             abort_stream(self.stream)
+            if self.handler_scope is not None:
+                self.handler_scope.cancel()
         elif self.receive_scope is not None:
             self.receive_scope.cancel()
 
@@ -230,10 +250,12 @@
             scope.cancel()
             return
         # Nobody reads meanwhile what arrives, up to the size of the kernel's buffer.
+        self.account.is_overfull = True
         self.account.hold(SOCKET_BUFFER_BYTES)
         try:
             await anyio.sleep_forever()
         finally:
+            self.account.is_overfull = False
             self.account.release(SOCKET_BUFFER_BYTES)
 
     def _account_buffered(self) -> None:
--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -10,7 +10,7 @@
 from ..listening import listen, serve_connections
 from ._connection import CONNECTION_ERRORS, Responder, ServerConnection
 from ._requests import EdgeLimits, Request
-from .const import END_POLL_S, END_TIMEOUT_S, MAX_LINGERING_CONNECTIONS
+from .const import END_POLL_S, END_TIMEOUT_S, MAX_LINGERING_CONNECTIONS, SENT_AHEAD_STARTS_AT_ONCE
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 CheckHead = Callable[[Request], Exception | None]
@@ -44,6 +44,7 @@
         self.ending = False
         self.active_requests = 0
         self.lingering_count = 0
+        self.sent_ahead_limiter = anyio.CapacityLimiter(SENT_AHEAD_STARTS_AT_ONCE)
         self.connections: set[ServerConnection] = set()
         self._listener_scope = anyio.CancelScope()
 
--- a/acaciarill/edge/const.py
+++ b/acaciarill/edge/const.py
@@ -39,6 +39,8 @@
 
 CLOSE_LINGER_S = 0.5
 """Time to read the rest of a rejected request, since a TCP reset would discard the response."""
+SENT_AHEAD_STARTS_AT_ONCE = 8
+"""How many requests that were sent ahead may begin in one turn of the event loop or two."""
 MAX_LINGERING_CONNECTIONS = 64
 """Limit of the connections of a server that do so at a time; others are closed at once."""
 
--- a/acaciarill/listening.py
+++ b/acaciarill/listening.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,6 +18,8 @@
 ACCEPT_RETRY_DELAY_S = 0.2
 MAX_READ_BYTES = 64 * 1024
 """Limit of one read from a socket; the loop's default is 256 KB, for each connection."""
+MAX_ACCEPTED_AT_ONCE = 64
+TLS_HANDSHAKE_TIMEOUT_S = 5.0
 TEMPORARY_ERRORS = frozenset(
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED}
 )
@@ -38,32 +41,52 @@
     listener: anyio.abc.Listener[Any],
     handler: Callable[[Any], Awaitable[None]],
     task_group: anyio.abc.TaskGroup,
+    tls: ssl.SSLContext | None = None,
 ) -> None:
-    """Serve a listener in a task group; go on accepting after temporary errors."""
-
-    async def serve_paused(stream: Any) -> None:
-        pause_reading(stream)
-        try:
-            await handler(stream)
-        except Exception as error:  # an error on one connection must not stop the server
-            log_message(message_type="listener:connection_failed", error=repr(error))
+    """Serve a listener in a task group; go on accepting after temporary errors.
 
+    All connections that wait are accepted at once: one after the other, each would take several
+    turns of the event loop, which are long while many clients are served.
+    """
+    raw_socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
     while True:
-        failed = None
-        try:
-            await listener.serve(serve_paused, task_group)
-        except* OSError as group:
-            failed = group
-        if failed is None:
-            return
-        if any(error.errno not in TEMPORARY_ERRORS for error in _flatten(failed)):
-            raise failed
-        log_message(
-            message_type="listener:accept_failed",
-            reason=str(_flatten(failed)[0]),
-            action=f"accept again in {ACCEPT_RETRY_DELAY_S} s",
-        )
-        await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+        await anyio.wait_readable(raw_socket)
+        for _ in range(MAX_ACCEPTED_AT_ONCE):
+            try:
+                connection, _address = raw_socket.accept()
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError as error:
+                if error.errno not in TEMPORARY_ERRORS:
+                    raise
+                log_message(
+                    message_type="listener:accept_failed",
+                    reason=str(error),
+                    action=f"accept again in {ACCEPT_RETRY_DELAY_S} s",
+                )
+                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+                break
+            task_group.start_soon(_serve_socket, connection, handler, tls)
+
+
+async def _serve_socket(
+    connection: socket.socket,
+    handler: Callable[[Any], Awaitable[None]],
+    tls: ssl.SSLContext | None,
+) -> None:
+    try:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream: Any = await anyio.abc.SocketStream.from_socket(connection)
+        pause_reading(stream)
+        if tls is not None:
+            with anyio.fail_after(TLS_HANDSHAKE_TIMEOUT_S):
+                stream = await TLSStream.wrap(
+                    stream, server_side=True, ssl_context=tls, standard_compatible=False
+                )
+        await handler(stream)
+    except Exception as error:  # an error on one connection must not stop the server
+        connection.close()
+        log_message(message_type="listener:connection_failed", error=repr(error))
 
 
 def pause_reading(stream: anyio.abc.ByteStream) -> None:
@@ -86,10 +109,3 @@
     if isinstance(stream, TLSStream):
         stream = stream.transport_stream
     return stream._transport  # type: ignore[attr-defined]  # not public in anyio
-
-
-def _flatten(group: BaseExceptionGroup[OSError]) -> list[OSError]:
-    errors: list[OSError] = []
-    for error in group.exceptions:
-        errors += _flatten(error) if isinstance(error, BaseExceptionGroup) else [error]
-    return errors
--- a/acaciarill/peers/_server.py
+++ b/acaciarill/peers/_server.py
@@ -7,7 +7,6 @@
 
 import anyio
 import anyio.abc
-from anyio.streams.tls import TLSListener
 from eliot import log_message
 
 from ..connection_budget import KIND_DAEMONS, ConnectionBudget
@@ -65,11 +64,9 @@
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Listen on the address and serve connections until cancelled."""
         listener = await listen(self.address)
-        if self.tls is not None:
-            listener = TLSListener(listener, self.tls, standard_compatible=False)
         task_status.started()
         async with listener, anyio.create_task_group() as tasks:
-            await serve_connections(listener, self._serve_connection, tasks)
+            await serve_connections(listener, self._serve_connection, tasks, self.tls)
 
     async def notify_all(self) -> None:
         """Notify every connected daemon that this one has newer state to fetch."""
--- a/tests/connection_budget/test_budget.py
+++ b/tests/connection_budget/test_budget.py
@@ -61,6 +61,16 @@
         self.open("later").hold(2 * MB)
         self.assertEqual(self.yielded, ["late", "running"])
 
+    def test_running_request_of_a_client_that_sends_too_much_ahead_gives_way(self) -> None:
+        running, ahead = self.open("running"), self.open("ahead")
+        for account in (running, ahead):
+            account.hold(4 * MB)
+            account.is_running = True
+        ahead.is_overfull = True
+        self.now += 1
+        self.open("late").hold(1)
+        self.assertEqual(self.yielded, ["ahead"])
+
     def test_few_bytes_are_no_progress(self) -> None:
         slow, fast = self.open("slow"), self.open("fast")
         for account in (slow, fast):
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -39,15 +39,26 @@
 
 
 class FailingListener:
-    """Fail to accept with some errors, and then end."""
+    """Be always ready to accept, and fail to with some errors in turn."""
 
     def __init__(self, *errors: int) -> None:
         self.errors = list(errors)
+        self.readable, self.other_end = socket.socketpair()
+        self.other_end.send(b"x")
 
-    async def serve(self, handler: Any, task_group: anyio.abc.TaskGroup) -> None:
-        if self.errors:
-            number = self.errors.pop(0)
-            raise ExceptionGroup("accept failed", [OSError(number, os.strerror(number))])
+    def extra(self, attribute: Any) -> "FailingListener":
+        return self
+
+    def fileno(self) -> int:
+        return self.readable.fileno()
+
+    def accept(self) -> None:
+        number = self.errors.pop(0)
+        raise OSError(number, os.strerror(number))
+
+    def close(self) -> None:
+        self.readable.close()
+        self.other_end.close()
 
 
 class AcceptTest(PlainLoopTestCase):
@@ -88,12 +99,13 @@
         async def handle(stream: Any) -> None:
             return
 
-        async with anyio.create_task_group() as tasks:
-            listener: Any = FailingListener(errno.EMFILE, errno.ECONNABORTED)
-            await serve_connections(listener, handle, tasks)
-            self.assertEqual(listener.errors, [])
-            with self.assertRaises(ExceptionGroup):
-                await serve_connections(FailingListener(errno.EBADF), handle, tasks)  # type: ignore[arg-type]
+        listener: Any = FailingListener(errno.EMFILE, errno.ECONNABORTED, errno.EBADF)
+        with anyio.fail_after(TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                with self.assertRaises(OSError) as caught:
+                    await serve_connections(listener, handle, tasks)
+        listener.close()
+        self.assertEqual((caught.exception.errno, listener.errors), (errno.EBADF, []))
 
     async def test_error_on_one_connection_does_not_stop_the_server(self) -> None:
         served: list[bytes] = []
