--- a/acaciarill/connection_budget/_budget.py
+++ b/acaciarill/connection_budget/_budget.py
@@ -30,9 +30,9 @@
 
     While `is_running` is set, a request of the connection runs, and the connection gives way only
     while it sends, or while `is_overfull` says that its client has sent more ahead than is read.
-    `is_ending` is set before `give_way` is called, which has to end the connection;
-    an account that is ending counts no content any more. `measure_unsent`
-    returns the bytes that the client's host has not confirmed.
+    `is_ending` is set before `give_way` is called, which has to end the connection; an account that
+    is ending counts no content any more. `measure_unsent` returns the bytes that the client's host
+    has not confirmed.
     """
 
     __slots__ = (
--- a/acaciarill/edge/__init__.py
+++ b/acaciarill/edge/__init__.py
@@ -7,8 +7,8 @@
     Exchange,
     HttpPool,
 )
-from ._connection import Responder
 from ._requests import EdgeLimits, Request
+from ._responder import Responder
 from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
 from ._server import EdgeServer
 
--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -8,8 +8,9 @@
 
 from ..connection_budget import KIND_CALLERS, ConnectionBudget
 from ..listening import listen, serve_connections
-from ._connection import CONNECTION_ERRORS, Responder, ServerConnection
+from ._connection import CONNECTION_ERRORS, ServerConnection
 from ._requests import EdgeLimits, Request
+from ._responder import Responder
 from .const import END_POLL_S, END_TIMEOUT_S, MAX_LINGERING_CONNECTIONS, SENT_AHEAD_STARTS_AT_ONCE
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
