Count what is sent as progress when looking for responses that nobody reads

Found by reading the diff before it landed: a response that a client reads steadily for longer than idle_timeout kept the kernel's buffer full at each look, so its connection would have been taken for one that nobody reads and reset. The bytes of other daemons' connections are measured in the same way, by one function.

--- a/acaciarill/connection_budget/_budget.py
+++ b/acaciarill/connection_budget/_budget.py
@@ -237,7 +237,7 @@
             unsent_bytes = account.measure_unsent()
             if unsent_bytes != account.unsent_bytes:
                 account.unsent_bytes, account.sending_since = unsent_bytes, now
-            elif now - account.sending_since > account.send_timeout_s:
+            elif now - max(account.sending_since, account.progress_at) > account.send_timeout_s:
                 stalled.append(account)
         self._let_yield(stalled, REASON_UNREAD_RESPONSE)
 
--- a/acaciarill/edge/_client.py
+++ b/acaciarill/edge/_client.py
@@ -1,10 +1,7 @@
 """Send HTTP/1.1 requests and report for each error whether the peer can have run the request."""
 
-import fcntl
 import select
 import socket
-import struct
-import termios
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
@@ -16,6 +13,7 @@
 
 from ..addresses import check_address, split_address
 from ..errors import Outcome, Step, UpstreamError
+from ..listening import unsent_bytes
 from ._checks import idle_reuse_s, is_final_status
 from ._pieces import split_bytes
 from ._responses import BodyReader, HttpResponse, ResponseBuffers, ResponseHead
@@ -49,8 +47,6 @@
     OSError,
 )
 
-_INT = struct.Struct("i")
-
 _CONNECT_ERRORS = (OSError, TimeoutError, ValueError)
 """An address that is not `ip:port` raises the last one."""
 
@@ -153,11 +149,7 @@
 
     def has_unacknowledged_bytes(self) -> bool:
         """Return whether the peer's host has not confirmed all bytes that were sent."""
-        connection_socket = self.connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        with suppress(OSError):
-            data = fcntl.ioctl(connection_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-            return _INT.unpack(data)[0] > 0
-        return False
+        return unsent_bytes(self.connection.stream) > 0
 
     def abort(self) -> None:
         """End the connection, so that whoever reads the response gets an error."""
--- a/acaciarill/edge/_connection.py
+++ b/acaciarill/edge/_connection.py
@@ -1,9 +1,7 @@
 """Read requests from one connection of a client and send the responses."""
 
-import fcntl
 import socket
 import struct
-import termios
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING
@@ -28,7 +26,6 @@
 """Value of SO_LINGER with which a close resets the connection."""
 
 END_BODY = b'{"code":"stopping"}'
-_INT = struct.Struct("i")
 
 CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
@@ -130,14 +127,6 @@
             account.finish_sending()
             account.release(len(data))
 
-    def unsent_bytes(self) -> int:
-        """Return the bytes in the kernel that the client's host has not confirmed."""
-        raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        with suppress(OSError):
-            data = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-            return _INT.unpack(data)[0]
-        return 0
-
     async def close(self) -> None:
         """Close the connection; read what the client still sends unless it must be aborted."""
         if self._ends_early():
--- a/acaciarill/edge/_server.py
+++ b/acaciarill/edge/_server.py
@@ -1,13 +1,14 @@
 """Serve HTTP/1.1 requests of clients over persistent connections."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import anyio.abc
 from eliot import log_message
 
 from ..connection_budget import KIND_CALLERS, ConnectionBudget
-from ..listening import listen, serve_connections
+from ..listening import listen, serve_connections, unsent_bytes
 from ._connection import CONNECTION_ERRORS, ServerConnection
 from ._requests import EdgeLimits, Request
 from ._responder import Responder
@@ -98,7 +99,7 @@
             await anyio.aclose_forcefully(stream)
             return
         connection = ServerConnection(self, stream, account)
-        account.measure_unsent = connection.unsent_bytes
+        account.measure_unsent = partial(unsent_bytes, stream)
         self.connections.add(connection)
         try:
             await connection.run()
--- a/acaciarill/listening.py
+++ b/acaciarill/listening.py
@@ -1,9 +1,13 @@
 """Accept connections as long as the process runs."""
 
 import errno
+import fcntl
 import socket
 import ssl
+import struct
+import termios
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -15,6 +19,7 @@
 from .connection_budget import SOCKET_BUFFER_BYTES
 
 DEFAULT_BACKLOG = 512
+_INT = struct.Struct("i")
 ACCEPT_RETRY_DELAY_S = 0.2
 MAX_READ_BYTES = 64 * 1024
 """Limit of one read from a socket; the loop's default is 256 KB, for each connection."""
@@ -100,6 +105,15 @@
     transport.pause_reading()
 
 
+def unsent_bytes(stream: anyio.abc.ByteStream) -> int:
+    """Return the bytes in the kernel that the other host has not confirmed."""
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    with suppress(OSError):
+        data = fcntl.ioctl(raw_socket.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        return int(_INT.unpack(data)[0])
+    return 0
+
+
 def abort_stream(stream: anyio.abc.ByteStream) -> None:
     """Close a connection without waiting for what is unsent."""
     _transport(stream).abort()
--- a/acaciarill/peers/_server.py
+++ b/acaciarill/peers/_server.py
@@ -3,6 +3,7 @@
 import ssl
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -11,7 +12,7 @@
 
 from ..connection_budget import KIND_DAEMONS, ConnectionBudget
 from ..errors import AcaciarillError, BadRequestError, Outcome, RefusedError, Step
-from ..listening import abort_stream, listen, serve_connections
+from ..listening import abort_stream, listen, serve_connections, unsent_bytes
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
 from .const import (
@@ -82,6 +83,7 @@
         if account is None:
             await anyio.aclose_forcefully(stream)
             return
+        account.measure_unsent = partial(unsent_bytes, stream)
         frame_stream = FrameStream(stream, account)
         try:
             peer = await _read_greeting(frame_stream)
--- a/tests/connection_budget/test_budget.py
+++ b/tests/connection_budget/test_budget.py
@@ -114,12 +114,14 @@
         self.assertIsNotNone(self.budget.open(KIND_READINESS, lambda: None))
 
     def test_response_of_which_nothing_is_read_is_aborted(self) -> None:
-        unread, slowly_read = self.open("unread"), self.open("slowly read")
+        unread, slowly_read, steady = map(self.open, ("unread", "slowly read", "steady"))
         slowly_read.measure_unsent = lambda: int(self.now)
-        for account in (unread, slowly_read):
+        steady.measure_unsent = lambda: 1000  # the buffer is full again after each piece
+        for account in (unread, slowly_read, steady):
             account.start_sending(15.0, self.now)
         for _ in range(40):
             self.now += 0.5
+            steady.record_progress(MIN_PROGRESS_BYTES, self.now)
             self.budget.close_stalled()
         self.assertEqual(self.yielded, ["unread"])
 
