--- a/acaciarill/listening.py
+++ b/acaciarill/listening.py
@@ -23,7 +23,6 @@
 ACCEPT_RETRY_DELAY_S = 0.2
 MAX_READ_BYTES = 64 * 1024
 """Limit of one read from a socket; the loop's default is 256 KB, for each connection."""
-MAX_ACCEPTED_AT_ONCE = 64
 TLS_HANDSHAKE_TIMEOUT_S = 5.0
 TEMPORARY_ERRORS = frozenset(
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ECONNABORTED}
@@ -50,28 +49,27 @@
 ) -> None:
     """Serve a listener in a task group; go on accepting after temporary errors.
 
-    All connections that wait are accepted at once: one after the other, each would take several
-    turns of the event loop, which are long while many clients are served.
+    One connection is accepted in each turn of the event loop. Accepting all that wait at once would
+    start a burst of requests together, and each of them would have to wait for all the others.
     """
     raw_socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
     while True:
         await anyio.wait_readable(raw_socket)
-        for _ in range(MAX_ACCEPTED_AT_ONCE):
-            try:
-                connection, _address = raw_socket.accept()
-            except (BlockingIOError, InterruptedError):
-                break
-            except OSError as error:
-                if error.errno not in TEMPORARY_ERRORS:
-                    raise
-                log_message(
-                    message_type="listener:accept_failed",
-                    reason=str(error),
-                    action=f"accept again in {ACCEPT_RETRY_DELAY_S} s",
-                )
-                await anyio.sleep(ACCEPT_RETRY_DELAY_S)
-                break
-            task_group.start_soon(_serve_socket, connection, handler, tls)
+        try:
+            connection, _address = raw_socket.accept()
+        except (BlockingIOError, InterruptedError):
+            continue
+        except OSError as error:
+            if error.errno not in TEMPORARY_ERRORS:
+                raise
+            log_message(
+                message_type="listener:accept_failed",
+                reason=str(error),
+                action=f"accept again in {ACCEPT_RETRY_DELAY_S} s",
+            )
+            await anyio.sleep(ACCEPT_RETRY_DELAY_S)
+            continue
+        task_group.start_soon(_serve_socket, connection, handler, tls)
 
 
 async def _serve_socket(
