--- a/tests/clients/cases.py
+++ b/tests/platform/clients/cases.py
@@ -6,14 +6,14 @@
 
 import anyio
 
-from tests.clients.crowd import Crowd
-from tests.clients.deployment import (
+from tests.fakes.event_loop import PlainLoopTestCase
+from tests.platform.clients.crowd import Crowd
+from tests.platform.clients.deployment import (
     MB,
     Deployment,
     ProcessLimits,
     running_deployment,
 )
-from tests.fakes.event_loop import PlainLoopTestCase
 
 LIMITS = ProcessLimits(memory_mb=128, max_fds=600)
 MAX_BODY_BYTES = 4 * MB
--- a/tests/clients/deployment.py
+++ b/tests/platform/clients/deployment.py
@@ -22,11 +22,11 @@
 from acaciarill.edge import EdgeLimits, HttpPool, HttpResponse, Request, Responder
 from acaciarill.errors import UpstreamError
 from acaciarill.platform.const import METRICS_PORT, SETTINGS_VARIABLE
-from tests.clients.usage import descriptor_count, resident_bytes, unread_bytes
 from tests.fakes.ports import free_port
+from tests.platform.clients.usage import descriptor_count, resident_bytes, unread_bytes
 from tests.platform.fakes import FakeDutyApi, FakeReplica, FakeStore, configuration
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 START_TIMEOUT_S = 60.0
 ANSWER_TIMEOUT_S = 60.0
 """Both only end a test that hangs; nothing is measured in time."""
--- a/tests/clients/test_crowds.py
+++ b/tests/platform/clients/test_crowds.py
@@ -6,7 +6,8 @@
 
 import anyio
 
-from tests.clients.cases import (
+from tests.fakes.event_loop import PlainLoopTestCase
+from tests.platform.clients.cases import (
     CLIENT_LIMITS,
     LARGE_BODIES,
     MAX_BODY_BYTES,
@@ -17,8 +18,7 @@
     body_with_length,
     requests_sent_ahead,
 )
-from tests.clients.deployment import MB, ProcessLimits, running_deployment
-from tests.fakes.event_loop import PlainLoopTestCase
+from tests.platform.clients.deployment import MB, ProcessLimits, running_deployment
 
 
 class CalmTest(PlainLoopTestCase):
--- a/tests/clients/test_odd_clients_soak.py
+++ b/tests/platform/clients/test_odd_clients_soak.py
@@ -13,10 +13,10 @@
 
 from acaciarill.edge import HttpResponse
 from acaciarill.errors import Outcome, UpstreamError
-from tests.clients.cases import CLIENT_LIMITS, LIMITS, MAX_BODY_BYTES, PeakUsage
-from tests.clients.deployment import MB, Deployment, running_deployment
-from tests.clients.odd_clients import OddClient
 from tests.fakes.event_loop import PlainLoopTestCase
+from tests.platform.clients.cases import CLIENT_LIMITS, LIMITS, MAX_BODY_BYTES, PeakUsage
+from tests.platform.clients.deployment import MB, Deployment, running_deployment
+from tests.platform.clients.odd_clients import OddClient
 
 SEED = int(os.environ.get("SOAK_SEED", "1"))
 SOAK_S = float(os.environ.get("SOAK_S", "15"))
--- a/tests/clients/test_refusals.py
+++ b/tests/platform/clients/test_refusals.py
@@ -5,15 +5,15 @@
 
 from acaciarill.connection_budget import ConnectionBudget, ConnectionLimits
 from acaciarill.edge import EdgeLimits, EdgeServer, Request, Responder
-from tests.clients.cases import CLIENT_LIMITS, LIMITS, MAX_BODY_BYTES
-from tests.clients.deployment import (
+from tests.fakes.event_loop import PlainLoopTestCase
+from tests.fakes.ports import free_port
+from tests.platform.clients.cases import CLIENT_LIMITS, LIMITS, MAX_BODY_BYTES
+from tests.platform.clients.deployment import (
     ANSWER_TIMEOUT_S,
     MB,
     patient_configuration,
     running_deployment,
 )
-from tests.fakes.event_loop import PlainLoopTestCase
-from tests.fakes.ports import free_port
 
 
 class RawClient:
--- a/tests/clients/test_related_crowds.py
+++ b/tests/platform/clients/test_related_crowds.py
@@ -11,7 +11,8 @@
 from acaciarill.peers import messages
 from acaciarill.peers._codec import encode
 from acaciarill.peers.const import LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION
-from tests.clients.cases import (
+from tests.fakes.event_loop import PlainLoopTestCase
+from tests.platform.clients.cases import (
     CLIENT_LIMITS,
     LARGE_BODIES,
     LIMITS,
@@ -23,15 +24,14 @@
     body_with_length,
     requests_sent_ahead,
 )
-from tests.clients.crowd import Crowd
-from tests.clients.deployment import (
+from tests.platform.clients.crowd import Crowd
+from tests.platform.clients.deployment import (
     ANSWER_TIMEOUT_S,
     MB,
     Deployment,
     ProcessLimits,
     running_deployment,
 )
-from tests.fakes.event_loop import PlainLoopTestCase
 
 LARGE_ANSWERS = 100
 """Together, they have one and a half times the memory of a process."""
--- a/tests/clients/test_serve.py
+++ b/tests/platform/clients/test_serve.py
@@ -9,12 +9,12 @@
 import tomli_w
 
 from acaciarill.const import MAX_BODY_BYTES
-from tests.clients.cases import PIECE_BYTES, PeakUsage
-from tests.clients.crowd import Crowd
-from tests.clients.deployment import ANSWER_TIMEOUT_S, MB
-from tests.clients.usage import descriptor_count, resident_bytes, unread_bytes
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.fleet import DaemonProcess, bearer_header, example_config, running_fleet
+from tests.platform.clients.cases import PIECE_BYTES, PeakUsage
+from tests.platform.clients.crowd import Crowd
+from tests.platform.clients.deployment import ANSWER_TIMEOUT_S, MB
+from tests.platform.clients.usage import descriptor_count, resident_bytes, unread_bytes
 
 MEMORY_BYTES = 192 * MB
 BODIES = 40
--- a/tests/units.py
+++ b/tests/units.py
@@ -12,7 +12,7 @@
 SLOW_TESTS = ("tests.models", "tests.proofs", "tests.test_")
 """Prefixes of the tests that last longest and therefore begin first."""
 
-SOLITARY_TESTS = ("tests.clients",)
+SOLITARY_TESTS = ("tests.platform.clients",)
 """Prefixes of the tests that run one at a time, after all others: they watch the memory of
 processes that serve many connections."""
 
