--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,9 +1,8 @@
-"""A request that crashes its replicas comes again after all processes were killed at once."""
+"""All machines are restarted in turn while long streams run; their requesters take them up."""
 
 import asyncio
-import signal
+import random
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,55 +10,25 @@
 
 from standins import (  # noqa: E402
     Channel,
+    Daemon,
     Machines,
-    Message,
     Record,
-    Replica,
+    StreamReplica,
+    read_body,
+    read_head,
     run_case,
 )
 
 HOST = ("Host", "app.example")
-DEADLINE = ("X-Acaciarill-Deadline-Ms", "2000")
-DEADLY = "/lookup/deadly"
-REPLICAS = 5
-BACK_S = 3.0
-DOWN_S = 1.3
+STREAMS = 16
+EVENTS = 400
+EVENT_S = 0.15
+TIME_LIMIT_MS = 60000
 CONTACT_S = 3.0
-FIRST_CRASHES = 3
-ALLOWED_RETRIES = 3
-OBSERVED_S = 40.0
-
-
-class MortalReplica(Replica):
-    """Crash when a deadly request begins to run; be back some seconds later as a new lifetime."""
-
-    crash_times: list[float] = []
-    reached_times: list[float] = []
-
-    async def run(self, request: Message, attempt: str, writer: asyncio.StreamWriter) -> None:
-        if request.target != DEADLY:
-            await super().run(request, attempt, writer)
-            return
-        self.reached_times.append(self.record.now())
-        await asyncio.sleep(0.02)
-        self.crash_times.append(self.record.now())
-        self.record.write(f"crash of {self.name} under {attempt}")
-        assert self.server is not None
-        self.server.close()
-        writer.transport.abort()
-        asyncio.get_running_loop().create_task(self.come_back())
-        for task in list(self.connections):
-            task.cancel()
-
-    async def come_back(self) -> None:
-        """Start again; the entry of the lifetime before expires meanwhile."""
-        await asyncio.sleep(BACK_S)
-        self.store.remove("servers", self.name)
-        self.name = f"{self.name.partition('.')[0]}.{len(self.crash_times)}"
-        self.born = int(time.time() * 1000)
-        await self.start()
-        self.report()
-        self.record.write(f"{self.name} is back")
+RESTART_DELAY_S = 0.5
+TAKE_UP_DELAY_S = 0.3
+TRIES = 4
+TRY_PAUSE_S = 0.7
 
 
 def configuration() -> dict:
@@ -67,18 +36,19 @@
         "version": 3,
         "routes": [
             {
-                "name": "lookup",
+                "name": "notes",
                 "hostname": "app.example",
-                "path_prefix": "/lookup/",
-                "kind": "safe",
-                "service": "app",
-                "timeout_ms": 3000,
-                "target_latency_ms": 400,
-                "max_attempts": 2,
+                "path_prefix": "/notes/",
+                "kind": "stream",
+                "service": "notes",
+                "resumable": True,
+                "timeout_ms": TIME_LIMIT_MS,
+                "target_latency_ms": 2000,
+                "max_attempts": 3,
                 "priority": 0,
             }
         ],
-        "services": [{"name": "app", "health_path": "/healthz", "max_conns": 140}],
+        "services": [{"name": "notes", "health_path": "/healthz", "max_conns": 140}],
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 1048576,
@@ -88,56 +58,110 @@
     }
 
 
-async def send_deadly(machines: Machines, number: int) -> None:
-    """Send the request once, as a requester's try, at one front after the other."""
-    channel = Channel(machines.fronts[number % len(machines.fronts)], machines.record)
-    try:
-        await channel.open()
-        await channel.send("GET", DEADLY, [HOST, DEADLINE])
-    except OSError:
-        machines.record.write("no connection")
-    finally:
-        channel.close()
+class Stream:
+    """Hold what a requester has of one stream, over all its tries."""
+
+    def __init__(self, machines: Machines, number: int) -> None:
+        self.machines = machines
+        self.record = machines.record
+        self.number = number
+        self.first_attempt = ""
+        self.event_ids: list[int] = []
+        self.statuses: list[int] = []
+
+    async def try_at(self, daemon: Daemon) -> None:
+        """Ask for the stream, or its rest, and read events until the channel ends."""
+        attempt = f"{random.getrandbits(64):016x}"
+        headers = [HOST, ("X-Acaciarill-Deadline-Ms", str(TIME_LIMIT_MS))]
+        if self.event_ids:
+            headers += [("Last-Event-Id", str(self.event_ids[-1])), ("Resumes", self.first_attempt)]
+        else:
+            self.first_attempt = attempt
+        lines = [f"POST /notes/{self.number} HTTP/1.1", f"X-Acaciarill-Attempt-Id: {attempt}"]
+        lines += [f"{name}: {value}" for name, value in headers] + ["Content-Length: 0"]
+        channel = Channel(daemon, self.record)
+        try:
+            await channel.open()
+            assert channel.reader is not None and channel.writer is not None
+            self.record.write(f"send {attempt} to {daemon.name} {headers[2:]}")
+            channel.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            head = await read_head(channel.reader)
+            self.statuses.append(head.status)
+            self.record.write(f"answer {attempt} {head.status}")
+            if head.status == 200:
+                await read_body(channel.reader, head, self._read_event)
+        except (OSError, asyncio.IncompleteReadError):
+            self.record.write(f"channel ended {attempt}, {len(self.event_ids)} events so far")
+        finally:
+            channel.close()
+
+    def _read_event(self, chunk: bytes) -> None:
+        self.event_ids.append(int(chunk.partition(b"id: ")[2].split(b"\n")[0]))
+
+
+async def use_stream(stream: Stream, first: Daemon, others: list[Daemon]) -> None:
+    """Read a stream at one daemon; once it breaks off, take it up at the others."""
+    await stream.try_at(first)
+    await asyncio.sleep(TAKE_UP_DELAY_S)
+    for number in range(TRIES):
+        count = len(stream.event_ids)
+        await stream.try_at(others[(stream.number + number) % len(others)])
+        if len(stream.event_ids) > count:
+            return
+        await asyncio.sleep(TRY_PAUSE_S)
 
 
-async def kill_all(machines: Machines) -> None:
-    """Kill all processes at the same moment, and start them again."""
-    machines.record.write("SIGKILL to all processes")
-    for daemon in machines.daemons:
-        daemon.signal(signal.SIGKILL)
-    await asyncio.sleep(DOWN_S)
-    for daemon in machines.daemons:
-        daemon.start()
-    while not all([await machines.is_ready(front) for front in machines.fronts]):  # noqa: ASYNC110
-        await asyncio.sleep(0.1)
-    machines.record.write("all fronts are ready again")
+async def restart(machines: Machines, daemon: Daemon) -> None:
+    """Stop a process as planned, and start it again."""
+    await machines.stop_daemon(daemon)
+    await asyncio.sleep(RESTART_DELAY_S)
+    daemon.start()
+    machines.record.write(f"{daemon.name} is started again")
+    await asyncio.sleep(2.0)
 
 
 async def main(record: Record, trouble: bool) -> bool:
     machines = Machines(record, fronts=3, stores=2)
     try:
-        for number in range(REPLICAS):
-            machines.add_replica(MortalReplica, f"i-{number + 1}", "app")
+        for name in ("i-1", "i-2", "i-3"):
+            replica = machines.add_replica(StreamReplica, name, "notes")
+            assert isinstance(replica, StreamReplica)
+            replica.events, replica.event_s = EVENTS, EVENT_S
         await machines.start(configuration())
         await asyncio.sleep(4.0)
-        crashes, reached = MortalReplica.crash_times, MortalReplica.reached_times
-        number = 0
-        while len(crashes) < FIRST_CRASHES:
-            number += 1
-            await send_deadly(machines, number)
-            await asyncio.sleep(1.0)
-        await asyncio.sleep(1.0)
+        last, others = machines.fronts[0], machines.fronts[1:]
+        streams = [Stream(machines, number) for number in range(STREAMS)]
+        uses = [asyncio.ensure_future(use_stream(stream, last, others)) for stream in streams]
+        await asyncio.sleep(2.0)
         if trouble:
-            await kill_all(machines)
-        in_touch_since = max(record.now(), crashes[FIRST_CRASHES - 1]) + CONTACT_S
-        await asyncio.sleep(in_touch_since - record.now())
-        while record.now() < in_touch_since + OBSERVED_S:
-            number += 1
-            await send_deadly(machines, number)
-            await asyncio.sleep(1.0)
-        late = [at for at in reached if at >= in_touch_since]
-        record.write(f"{len(late)} late retries reached a replica; {len(crashes)} crashes in all")
-        return len(late) > ALLOWED_RETRIES
+            for daemon in [*others, *machines.stores]:
+                await restart(machines, daemon)
+        else:
+            await asyncio.sleep(20.0)
+        await asyncio.sleep(CONTACT_S + 1.0)
+        counts = [len(stream.event_ids) for stream in streams]
+        record.write(f"{sum(map(bool, counts))} streams have begun and go on")
+        stop = asyncio.ensure_future(machines.stop_daemon(last))
+        while not all(len(stream.statuses) > 1 for stream in streams):  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        new_streams = [Stream(machines, STREAMS + number) for number in range(STREAMS)]
+        news = [
+            asyncio.ensure_future(stream.try_at(others[stream.number % 2]))
+            for stream in new_streams
+        ]
+        await stop
+        await asyncio.sleep(TRIES * TRY_PAUSE_S + 3.0)
+        for task in [*uses, *news]:
+            task.cancel()
+        await asyncio.gather(*uses, *news, return_exceptions=True)
+        gone_on = sum(200 in stream.statuses[1:] for stream in streams)
+        begun = sum(bool(stream.event_ids) for stream in new_streams)
+        for stream in streams:
+            ids = stream.event_ids
+            if ids != list(range(1, len(ids) + 1)):
+                record.write(f"stream {stream.number} has events missing or twice")
+        record.write(f"{gone_on} of {STREAMS} streams went on; {begun} of {STREAMS} new ones began")
+        return gone_on / STREAMS < begun / STREAMS / 2
     finally:
         machines.end()
 
