Log the beginning of each step of a planned stop

Which step it stood at could not be told from its log: daemon:draining is the only line of the stop. Hypotheses: the pings that announce the stop, the release of the duties, the hand-over of batches, or the end of the callers' connections. Each step now logs its beginning, so the last line names the one that stands.

--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -534,21 +534,32 @@
         started = self.clock()
         self.draining = self.members.own.draining = self.relay_server.draining = True
         self.drain_deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
+        self._log_drain_step("announce", started)
         await self.peers.ping_all()
+        self._log_drain_step("release duties", started)
         await self.duties.release_all()
+        self._log_drain_step("hand over batches", started)
         await self.batch_manager.hand_over()
         deadline = self.drain_deadline
         if self.edge_server is None:
             await self._finish_relaying(deadline)
             return
         await anyio.sleep(DRAIN_NOTICE_S)
+        self._log_drain_step("close idle connections", started)
         self.edge_server.drain()
         while self.edge_server.active_requests and self.clock() < deadline:  # noqa: ASYNC110
             await anyio.sleep(DRAIN_POLL_S)
+        self._log_drain_step("end requests", started)
         await self.edge_server.end_requests()
         await self._finish_relaying(deadline)
         self.edge_server.stop_accepting()
 
+    def _log_drain_step(self, step: str, started: float) -> None:
+        """Log the beginning of a step; the last line names the step at which a drain stands."""
+        log_message(
+            message_type="daemon:drain_step", step=step, after_s=round(self.clock() - started, 2)
+        )
+
     async def _finish_relaying(self, deadline: float) -> None:
         while self.relay_server.active_exchanges and self.clock() < deadline:  # noqa: ASYNC110
             await anyio.sleep(DRAIN_POLL_S)
