Bound each call to another daemon as a whole, and share attempts to connect

Cause: PeerLinks let each call to an address wait for a lock, and each holder of the lock tried to connect anew, 1 s each while the machine did not respond. The timeout of a call began only once it was connected. So calls to a silent address queued up, one second each; a front with more than one stream a second never caught up, and its stop waits for pings of every daemon. Streams between daemons had no timeout at all.

Evidence: the log of front-01 has 14 streams:tell_failed for the removed address, one each second, and its stop stands at the step "announce" until SIGKILL. The new test sees a call with a timeout of 0.1 to 2 s fail 38.3 s after its timeout, 40 calls being started at once.

Ruled out: the release of duties and the hand-over of batches (neither had begun); the end of the callers' connections (the same front needs 0.01 s with all machines there).

Why this works: all calls to an address share one attempt, which ends after CONNECT_TIMEOUT_S, and each call has one deadline that covers the connection, the request and the response. Nothing is opened in turn any more. A call that is late no longer ends the others on a connection on which responses still arrive.

Tests: 4 of the 5 new ones failed before (38.3 s late; streams without a timeout; a late call broke another); test_daemon_that_is_back_is_called_at_once held.

--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -147,6 +147,7 @@
             self.task_group,
             self.rng,
             self.budget,
+            self.metrics.count_peer_call_failure,
         )
         self.channel.relay = self.peers.relay
         self.peers.table = self.table
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -99,6 +99,13 @@
             registry=self.registry,
         )
 
+        self.peer_call_failures = Counter(
+            "acaciarill_peer_call_failures",
+            "Calls to other daemons that got no response, by kind of failure",
+            ["kind"],
+            registry=self.registry,
+        )
+
         self.client_connections = Gauge(
             "acaciarill_client_connections",
             "Connections that clients, operators and other daemons have open",
@@ -176,6 +183,10 @@
         """Count one request sent to an upstream."""
         self.attempts.labels(str(rate_limited).lower()).inc()
 
+    def count_peer_call_failure(self, kind: str) -> None:
+        """Count one call to another daemon that got no response."""
+        self.peer_call_failures.labels(kind).inc()
+
     def count_store_call(self, method: str, relayed: bool) -> None:
         """Count one call to the object store."""
         self.store_calls.labels(method, str(relayed).lower()).inc()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -1,7 +1,7 @@
 """Exchange pings, mirrors, store calls, batches and usage counts with the other daemons."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from uuid import uuid4
 
 import anyio
@@ -58,6 +58,7 @@
         task_group: anyio.abc.TaskGroup,
         rng: random.Random,
         budget: ConnectionBudget,
+        on_call_failure: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self.members = members
         self.channel = channel
@@ -82,6 +83,7 @@
         )
         self.task_group = task_group
         self.links = PeerLinks(greeting, task_group)
+        self.links.on_failure = lambda address, kind: on_call_failure(kind)
         self.server = PeerServer(own.address, budget=budget)
         self.server.handlers |= {
             "ping": self._on_ping,
--- a/acaciarill/peers/_links.py
+++ b/acaciarill/peers/_links.py
@@ -1,7 +1,8 @@
 """Call other daemons over one connection per daemon, which the first call opens."""
 
 import ssl
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -13,7 +14,15 @@
 from ..errors import BadRequestError, Outcome, PeerError, Step
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._messages import messages
-from .const import CALL_TIMEOUT_S, CONNECT_TIMEOUT_S, MAX_CALL_ID, STREAM_BUFFER_FRAMES
+from .const import (
+    CALL_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    FAILURE_CONNECTION_LOST,
+    FAILURE_NOT_CONNECTED,
+    FAILURE_TIMEOUT,
+    MAX_CALL_ID,
+    STREAM_BUFFER_FRAMES,
+)
 
 
 class _Link:
@@ -69,10 +78,20 @@
         await self.frame_stream.aclose()
 
 
+@dataclass(slots=True)
+class _ConnectAttempt:
+    """Hold the outcome of one attempt to connect, which all calls to its address share."""
+
+    finished: anyio.Event = field(default_factory=anyio.Event)
+    link: _Link | None = None
+    error: Exception | None = None
+
+
 class PeerLinks:
     """Manage the outgoing connections of this daemon, one for each address.
 
-    `on_notify` is called for each notification from a connected daemon that it has newer state.
+    `on_notify` is called for each notification from a connected daemon that it has newer state,
+    and `on_failure` with the address and the kind of each call that fails without a response.
     """
 
     def __init__(
@@ -85,8 +104,9 @@
         self.tls = tls
         self.task_group = task_group
         self.links_by_address: dict[str, _Link] = {}
-        self.connect_locks: dict[str, anyio.Lock] = {}
+        self.attempts: dict[str, _ConnectAttempt] = {}
         self.on_notify: Callable[[], None] = lambda: None
+        self.on_failure: Callable[[str, str], None] = lambda address, kind: None
         self.closed_connection_bytes = 0
 
     def control_bytes(self) -> int:
@@ -99,70 +119,101 @@
     async def call(self, address: str, timeout_s: float = CALL_TIMEOUT_S, **member: Any) -> Any:
         """Send a request with a frame member, such as `ping`, and return the response frame.
 
-        Raise PeerError: its outcome is NOT_RUN if no connection could be opened, UNKNOWN if no
-        response arrived, or the one that the other daemon reported.
+        `timeout_s` covers the whole call, in seconds, also the wait for a connection. Raise
+        PeerError: its outcome is NOT_RUN if no connection could be opened, UNKNOWN if no response
+        arrived, or the one that the other daemon reported.
         """
-        link = await self._connect(address)
-        call_id, receiver = link.begin_call()
+        frames = self._exchange(address, timeout_s, member)
         try:
-            with anyio.fail_after(timeout_s):
-                await link.frame_stream.send(messages.Frame(call_id=call_id, **member))
-                frame = await receiver.receive()
-        except TimeoutError as error:
-            await self._discard(address, link)  # the connection may be half-open
-            raise _peer_error(address, "timed out waiting for the response") from error
-        except CONNECTION_ERRORS as error:
-            await self._discard(address, link)
-            raise _peer_error(address, "the connection was lost") from error
+            return await anext(frames)
         finally:
-            link.end_call(call_id)
-            receiver.close()
-        _raise_if_failed(address, frame)
-        return frame
+            await frames.aclose()
 
-    async def stream(self, address: str, **member: Any) -> AsyncIterator[Any]:
+    async def stream(self, address: str, timeout_s: float, **member: Any) -> AsyncIterator[Any]:
         """Send a request with a frame member and yield the frames up to `forward_end`.
 
-        Raise PeerError. No timeout applies to the responses.
+        `timeout_s` covers all up to the first frame, and the wait for each further one, in seconds.
+        Raise PeerError, as `call` does.
         """
-        link = await self._connect(address)
+        frames = self._exchange(address, timeout_s, member)
+        try:
+            async for frame in frames:
+                yield frame
+                if frame.forward_end is not None:
+                    return
+        finally:
+            await frames.aclose()
+
+    async def _exchange(
+        self, address: str, timeout_s: float, member: dict[str, Any]
+    ) -> AsyncGenerator[Any, None]:
+        """Send a request and yield the response frames."""
+        deadline = anyio.current_time() + timeout_s
+        link = await self._connect(address, deadline)
         call_id, receiver = link.begin_call()
+        bytes_received = link.frame_stream.bytes_received
         try:
-            await link.frame_stream.send(messages.Frame(call_id=call_id, **member))
+            with anyio.fail_after(deadline - anyio.current_time()):
+                await link.frame_stream.send(messages.Frame(call_id=call_id, **member))
             while True:
-                frame = await receiver.receive()
+                with anyio.fail_after(deadline - anyio.current_time()):
+                    frame = await receiver.receive()
                 _raise_if_failed(address, frame)
                 yield frame
-                if frame.forward_end is not None:
-                    return
+                bytes_received = link.frame_stream.bytes_received
+                deadline = anyio.current_time() + timeout_s
+        except TimeoutError as error:
+            # A connection on which other responses arrive is sound: only this one is late.
+            if link.frame_stream.bytes_received == bytes_received:
+                await self._discard(address, link)
+            self.on_failure(address, FAILURE_TIMEOUT)
+            raise _peer_error(address, "timed out waiting for the response") from error
         except CONNECTION_ERRORS as error:
+            await self._discard(address, link)
+            self.on_failure(address, FAILURE_CONNECTION_LOST)
             raise _peer_error(address, "the connection was lost") from error
         finally:
             link.end_call(call_id)
             receiver.close()
 
-    async def _connect(self, address: str) -> _Link:
-        async with self.connect_locks.setdefault(address, anyio.Lock()):
-            link = self.links_by_address.get(address)
-            if link is not None and link.is_open:
-                return link
-            try:
-                host, port = split_address(check_address(address))
-                with anyio.fail_after(CONNECT_TIMEOUT_S):
-                    stream = await self._open_stream(host, port)
-                    frame_stream = FrameStream(stream)
-                    await frame_stream.send(messages.Frame(call_id=0, greeting=self.greeting))
-            except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
-                raise PeerError(
-                    "cannot connect to the daemon",
-                    step=Step.CONNECT,
-                    peer=address,
-                    outcome=Outcome.NOT_RUN,
-                ) from error
-            link = _Link(frame_stream)
-            self.links_by_address[address] = link
-            self.task_group.start_soon(link.read_frames, self._handle_notify)
+    async def _connect(self, address: str, deadline: float) -> _Link:
+        """Return an open connection; raise PeerError with the outcome NOT_RUN.
+
+        Concurrent calls share one attempt, so that none waits for those before it to fail.
+        """
+        link = self.links_by_address.get(address)
+        if link is not None and link.is_open:
             return link
+        attempt = self.attempts.get(address)
+        if attempt is None:
+            attempt = self.attempts[address] = _ConnectAttempt()
+            self.task_group.start_soon(self._attempt_connect, address, attempt)
+        with anyio.move_on_after(deadline - anyio.current_time()):
+            await attempt.finished.wait()
+        if attempt.link is not None:
+            return attempt.link
+        self.on_failure(address, FAILURE_NOT_CONNECTED)
+        raise PeerError(
+            "cannot connect to the daemon",
+            step=Step.CONNECT,
+            peer=address,
+            outcome=Outcome.NOT_RUN,
+        ) from attempt.error
+
+    async def _attempt_connect(self, address: str, attempt: _ConnectAttempt) -> None:
+        try:
+            host, port = split_address(check_address(address))
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await self._open_stream(host, port)
+                frame_stream = FrameStream(stream)
+                await frame_stream.send(messages.Frame(call_id=0, greeting=self.greeting))
+            attempt.link = self.links_by_address[address] = _Link(frame_stream)
+            self.task_group.start_soon(attempt.link.read_frames, self._handle_notify)
+        except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
+            attempt.error = error
+        finally:
+            del self.attempts[address]
+            attempt.finished.set()
 
     async def _open_stream(self, host: str, port: int) -> anyio.abc.ByteStream:
         if self.tls is None:
--- a/acaciarill/peers/const.py
+++ b/acaciarill/peers/const.py
@@ -21,6 +21,10 @@
 GREETING_TIMEOUT_S = 2.0
 """Limits the wait for the greeting of a new connection and each send of a notification."""
 
+FAILURE_NOT_CONNECTED = "not connected"
+FAILURE_TIMEOUT = "timeout"
+FAILURE_CONNECTION_LOST = "connection lost"
+
 STREAM_BUFFER_FRAMES = 64
 """Buffered response frames of one call; while they fill the buffer, its connection is not read."""
 
--- a/acaciarill/upstreams/_dispatch.py
+++ b/acaciarill/upstreams/_dispatch.py
@@ -150,11 +150,12 @@
 
     async def _forward_to(self, name: str, request: UpstreamRequest) -> UpstreamResponse:
         address = self.membership.address(name)
-        deadline_ms = int((request.deadline - self.clock()) * MS_PER_S)
+        timeout_s = request.deadline - self.clock()
         attributes = {"customer": request.customer, "target": request.target}
         with self.telemetry.span("peer.forward", attributes, request.trace_parent) as span:
             frames = self.links.stream(
                 address,
+                timeout_s,
                 forward=messages.Forward(
                     request_id=request.request_id,
                     customer=request.customer,
@@ -163,7 +164,7 @@
                     path=request.path,
                     headers=[messages.Header(name=n, value=v) for n, v in request.headers],
                     body=request.body,
-                    deadline_ms=deadline_ms,
+                    deadline_ms=int(timeout_s * MS_PER_S),
                     idempotent=request.idempotent,
                     trace_parent=self.telemetry.trace_parent(span, request.trace_parent),
                 ),
