Drain clients beside the steps of a stop that wait for others

Cause: the stop awaited the announcement to all daemons, the release of duties and the hand-over of batches, in this order, before the callers' connections were told. Each of them waits for somebody else: other daemons or the store. Nothing bounded them together, and an error in one ended the stop altogether.

Releases and hand-overs run at the same time, whatever another one raises. What is cut off is taken over as after a crash, and logged as daemon:drain_step_ended; acaciarill_drain_steps_total counts all. Calls to a daemon that has left the list fail like others, where a KeyError ended the hand-over.

--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -273,9 +273,9 @@
             runner.stop()
             try:
                 await self._hand_over_batch(batch_id, runner)
-            except StoreError as error:  # its next owner finds the batch in its mirror
+            except Exception as error:  # its next owner finds the batch in its mirror
                 log_message(
-                    message_type="batch:hand_over_failed", batch=batch_id, reason=error.message
+                    message_type="batch:hand_over_failed", batch=batch_id, reason=str(error)
                 )
 
     async def _hand_over_batch(self, batch_id: str, runner: BatchRunner) -> None:
--- a/acaciarill/duties.py
+++ b/acaciarill/duties.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import anyio
 from eliot import log_message
 
 from .errors import AcaciarillError
@@ -118,10 +119,11 @@
     async def release_all(self) -> None:
         """Stop competing for all duties and release their leases, for a planned stop."""
         self.draining = True
-        for duty in list(self.duties.values()):
-            for unsubscribe in duty.unsubscribes:
-                unsubscribe()
-            await _release(duty)
+        async with anyio.create_task_group() as releases:
+            for duty in list(self.duties.values()):
+                for unsubscribe in duty.unsubscribes:
+                    unsubscribe()
+                releases.start_soon(_release, duty)
 
     def held_duties(self) -> list[str]:
         """Return the sorted names of the duties whose lease this daemon holds."""
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -61,6 +61,7 @@
 from ..relays.const import RELAY_PING_PERIOD_S
 from ..timer import TimerService
 from ._feed import MirrorFeed
+from ._leaving import leave_fleet, log_drain_step
 from ._metrics import Metrics
 from ._mirrors import FleetMirrors
 from ._peers import PeerService
@@ -530,36 +531,40 @@
         await server.run(task_status=task_status)
 
     async def _drain(self) -> None:
-        """Fail readiness, release duties and batches, then finish the requests that still run."""
+        """Fail readiness, finish the requests that still run, and leave the fleet meanwhile."""
         log_message(message_type="daemon:draining", host=self.settings.host)
         started = self.clock()
         self.draining = self.members.own.draining = self.relay_server.draining = True
         self.drain_deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
-        self._log_drain_step("announce", started)
-        await self.peers.ping_all()
-        self._log_drain_step("release duties", started)
-        await self.duties.release_all()
-        self._log_drain_step("hand over batches", started)
-        await self.batch_manager.hand_over()
-        deadline = self.drain_deadline
-        if self.edge_server is None:
-            await self._finish_relaying(deadline)
-            return
+        # Clients never wait for what other daemons and the store do.
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._leave_fleet)
+            if self.edge_server is not None:
+                await self._drain_clients(self.edge_server, started)
+        await self._finish_relaying(self.drain_deadline)
+        if self.edge_server is not None:
+            self.edge_server.stop_accepting()
+
+    async def _leave_fleet(self) -> None:
+        await leave_fleet(
+            self.peers.ping_all,
+            {
+                "release duties": self.duties.release_all,
+                "hand over batches": self.batch_manager.hand_over,
+            },
+            self.drain_deadline - self.clock(),
+            self.metrics.count_drain_step,
+        )
+
+    async def _drain_clients(self, edge_server: EdgeServer, started: float) -> None:
+        """Close idle connections, finish the requests that run, and end those that run too long."""
         await anyio.sleep(DRAIN_NOTICE_S)
-        self._log_drain_step("close idle connections", started)
-        self.edge_server.drain()
-        while self.edge_server.active_requests and self.clock() < deadline:  # noqa: ASYNC110
+        log_drain_step("close idle connections", self.clock() - started)
+        edge_server.drain()
+        while edge_server.active_requests and self.clock() < self.drain_deadline:  # noqa: ASYNC110
             await anyio.sleep(DRAIN_POLL_S)
-        self._log_drain_step("end requests", started)
-        await self.edge_server.end_requests()
-        await self._finish_relaying(deadline)
-        self.edge_server.stop_accepting()
-
-    def _log_drain_step(self, step: str, started: float) -> None:
-        """Log the beginning of a step; the last line names the step at which a drain stands."""
-        log_message(
-            message_type="daemon:drain_step", step=step, after_s=round(self.clock() - started, 2)
-        )
+        log_drain_step("end requests", self.clock() - started)
+        await edge_server.end_requests()
 
     async def _finish_relaying(self, deadline: float) -> None:
         while self.relay_server.active_exchanges and self.clock() < deadline:  # noqa: ASYNC110
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -106,6 +106,13 @@
             registry=self.registry,
         )
 
+        self.drain_steps = Counter(
+            "acaciarill_drain_steps",
+            "Steps of a planned stop that wait for other daemons or the store, by how they ended",
+            ["step", "outcome"],
+            registry=self.registry,
+        )
+
         self.client_connections = Gauge(
             "acaciarill_client_connections",
             "Connections that clients, operators and other daemons have open",
@@ -187,6 +194,10 @@
         """Count one call to another daemon that got no response."""
         self.peer_call_failures.labels(kind).inc()
 
+    def count_drain_step(self, step: str, outcome: str) -> None:
+        """Count one step of a planned stop."""
+        self.drain_steps.labels(step, outcome).inc()
+
     def count_store_call(self, method: str, relayed: bool) -> None:
         """Count one call to the object store."""
         self.store_calls.labels(method, str(relayed).lower()).inc()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -170,7 +170,21 @@
 
     def start_ping(self, name: str) -> None:
         """Ping a known daemon; do not wait for the reply."""
-        self.task_group.start_soon(self._ping, self.members.by_name[name].address, name)
+        member = self.members.by_name.get(name)
+        if member is not None:
+            self.task_group.start_soon(self._ping, member.address, name)
+
+    def _address_of(self, name: str) -> str:
+        """Return the address of a daemon; raise PeerError if it has left the fleet."""
+        member = self.members.by_name.get(name)
+        if member is None:
+            raise PeerError(
+                "the daemon has left the fleet",
+                step=Step.CONNECT,
+                peer=name,
+                outcome=Outcome.NOT_RUN,
+            )
+        return member.address
 
     async def _ping(self, address: str, name: str) -> None:
         try:
@@ -271,7 +285,7 @@
             body=body,
             texts=texts,
         )
-        await self.links.call(self.members.by_name[owner].address, own_batch=call)
+        await self.links.call(self._address_of(owner), own_batch=call)
 
     async def _on_own_batch(self, call: messages.OwnBatch) -> dict[str, messages.Done]:
         if self.batch_manager is None:
@@ -333,7 +347,7 @@
         call = messages.TakePermit(
             upstream=upstream, limit=limit.rate, limit_age_s=limit.age_s, max_wait_s=max_wait_s
         )
-        address = self.members.by_name[issuer].address
+        address = self._address_of(issuer)
         frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_permit=call)
         permit = frame.issued_permit
         return Permit(permit.granted, permit.wait_s, permit.next_s, bool(permit.limit_lifted))
@@ -356,16 +370,14 @@
 
     def announce_lifted(self, issuer: str, upstream: str) -> None:
         """Tell the issuer of an upstream's permits that its limit is lifted; do not wait."""
-        self.task_group.start_soon(
-            self._announce_lifted, self.members.by_name[issuer].address, upstream
-        )
+        self.task_group.start_soon(self._announce_lifted, issuer, upstream)
 
-    async def _announce_lifted(self, address: str, upstream: str) -> None:
+    async def _announce_lifted(self, issuer: str, upstream: str) -> None:
         call = messages.LimitLifted(upstream=upstream)
         try:
-            await self.links.call(address, PERMIT_TIMEOUT_S, limit_lifted=call)
+            await self.links.call(self._address_of(issuer), PERMIT_TIMEOUT_S, limit_lifted=call)
         except PeerError as error:
-            log_message(message_type="permits:announce_failed", peer=address, reason=error.message)
+            log_message(message_type="permits:announce_failed", peer=issuer, reason=error.message)
 
     async def _on_limit_lifted(self, call: messages.LimitLifted) -> dict[str, messages.Done]:
         if self.permits is not None:
@@ -438,7 +450,7 @@
     ) -> TrialGrant:
         """Ask a daemon for a trial of a request; raise PeerError."""
         call = messages.TakeTrial(request_key=key, attempt_id=attempt_id, records=records)
-        address = self.members.by_name[issuer].address
+        address = self._address_of(issuer)
         frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_trial=call)
         issued = frame.issued_trial
         return TrialGrant(issued.granted, issued.retry_after_s, bool(issued.is_pending))
@@ -466,11 +478,10 @@
         self.task_group.start_soon(self._send_stream_begun, holder, call)
 
     async def _send_stream_begun(self, holder: str, call: messages.StreamBegun) -> None:
-        address = self.members.by_name[holder].address
         try:
-            await self.links.call(address, PING_TIMEOUT_S, stream_begun=call)
+            await self.links.call(self._address_of(holder), PING_TIMEOUT_S, stream_begun=call)
         except PeerError as error:
-            log_message(message_type="streams:tell_failed", peer=address, reason=error.message)
+            log_message(message_type="streams:tell_failed", peer=holder, reason=error.message)
 
     async def _on_stream_begun(self, call: messages.StreamBegun) -> dict[str, messages.Done]:
         if self.stream_versions is not None:
@@ -480,7 +491,7 @@
     async def find_stream(self, holder: str, stream: str) -> str | None:
         """Ask a daemon which software version began a stream; raise PeerError."""
         call = messages.FindStream(stream=stream)
-        address = self.members.by_name[holder].address
+        address = self._address_of(holder)
         frame = await self.links.call(address, STREAM_LOOKUP_TIMEOUT_S, find_stream=call)
         return frame.found_stream.software_version
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -54,6 +54,7 @@
         self.daemons: dict[str, FleetDaemon] = {}
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.stops: dict[str, anyio.Event] = {}
+        self.ended: dict[str, anyio.Event] = {}
         self.drain_s = 2.0
         self.pool = HttpPool(anyio.current_time, _open_client_stream)
 
@@ -95,6 +96,7 @@
             batch_retention_s=60.0,
             metrics_address=f"127.0.0.1:{free_port()}",
         )
+        ended = self.ended[name] = anyio.Event()
         with anyio.CancelScope() as self.scopes[name]:
             async with anyio.create_task_group() as tasks:
                 daemon = FleetDaemon(build_fleet_settings(settings), build_ports(settings), tasks)
@@ -102,6 +104,7 @@
                 self.stops[name] = anyio.Event()
                 await daemon.run(self.stops[name])
                 tasks.cancel_scope.cancel()
+        ended.set()
 
     async def call(
         self,
