Bound a call to the store over all its tries

A stop, an acceptance and a claim wait for the store, and a call that is tried directly and then through two daemons took the sum of three timeouts: 3.6 s and more, of the 4 s that the users allow for an acceptance.

Cause: each try had the whole timeout, and nothing counted them together.

A call that reached nobody in that time is reported as not run, so that its caller may repeat it.

--- a/acaciarill/fleet/_store_channel.py
+++ b/acaciarill/fleet/_store_channel.py
@@ -10,10 +10,14 @@
 from .const import STORE_BACKOFF_S, STORE_CALL_TIMEOUT_S, STORE_CONTACT_TTL_S
 
 StoreResponse = tuple[int, bytes]
-Relay = Callable[[str, str, bytes, float], Awaitable[StoreResponse | None]]
-"""Relay a call through a peer; return None if no peer can reach the store."""
+Relay = Callable[[str, str, bytes, float, float], Awaitable[StoreResponse | None]]
+"""Relay a call through a peer; return None if no peer can reach the store.
+
+The last two arguments are the timeout of the store's response and the deadline of all tries."""
 
 REJECTED_STATUSES = (429, 503)
+TRIES_TIMEOUT_FACTOR = 2.0
+"""A call may be tried directly and once more through a peer, each for the timeout of one try."""
 
 
 class StoreChannel:
@@ -55,25 +59,37 @@
         """Return the status and body of a response; raise StoreError.
 
         `retry_via_peer` repeats a read whose response was lost. The error's outcome is NOT_RUN
-        only if the store cannot have processed the call.
+        only if the store cannot have processed the call. All tries together end after twice
+        `timeout_s` seconds.
         """
+        deadline = self.clock() + TRIES_TIMEOUT_FACTOR * timeout_s
         if self.backoff_until > self.clock():
-            response = await self._call_via_peer(method, target, body, timeout_s)
+            response = await self._call_via_peer(method, target, body, timeout_s, deadline)
             if response is not None:
                 return response
         try:
-            status, response_body = await self.call_directly(method, target, body, timeout_s)
+            remaining_s = deadline - self.clock()
+            if remaining_s <= 0:
+                raise StoreError(
+                    "no peer relayed the call in time",
+                    step=Step.STORE,
+                    peer=self.address,
+                    outcome=Outcome.NOT_RUN,
+                )
+            status, response_body = await self.call_directly(
+                method, target, body, min(timeout_s, remaining_s)
+            )
         except StoreError as error:
             self._start_backoff(error.message)
             if error.outcome is Outcome.UNKNOWN and (method != "GET" or not retry_via_peer):
                 raise  # the caller must find out whether a lost write was applied
-            response = await self._call_via_peer(method, target, body, timeout_s)
+            response = await self._call_via_peer(method, target, body, timeout_s, deadline)
             if response is None:
                 raise
             return response
         if status in REJECTED_STATUSES:
             self._start_backoff(f"store rejected the call with status {status}")
-            response = await self._call_via_peer(method, target, body, timeout_s)
+            response = await self._call_via_peer(method, target, body, timeout_s, deadline)
             if response is not None:
                 return response
             raise StoreError(
@@ -115,12 +131,12 @@
         return head.status, response_body
 
     async def _call_via_peer(
-        self, method: str, target: str, body: bytes, timeout_s: float
+        self, method: str, target: str, body: bytes, timeout_s: float, deadline: float
     ) -> StoreResponse | None:
-        if self.relay is None:
+        if self.relay is None or self.clock() >= deadline:
             return None
         try:
-            response = await self.relay(method, target, body, timeout_s)
+            response = await self.relay(method, target, body, timeout_s, deadline)
         except PeerError as error:
             if error.outcome is Outcome.NOT_RUN:
                 return None
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -236,10 +236,17 @@
     # Calls to the store
 
     async def relay(
-        self, method: str, target: str, body: bytes, timeout_s: float
+        self, method: str, target: str, body: bytes, timeout_s: float, deadline: float
     ) -> tuple[int, bytes] | None:
-        """Relay a store call through a peer that reaches the store; return None without one."""
+        """Relay a store call through a peer that reaches the store; return None without one.
+
+        The store may take `timeout_s` seconds to respond; all tries end at the deadline.
+        """
         for member in self.members.store_relays()[:MAX_RELAYS]:
+            remaining_s = deadline - self.members.clock()
+            if remaining_s <= 0:
+                return None
+            timeout_s = min(timeout_s, remaining_s)
             call = messages.StoreCall(
                 method=method, target=target, body=body, timeout_ms=int(timeout_s * MS_PER_S)
             )
