Ping listed daemons at the start, and those that do not respond to a call

Cause: a daemon takes each entry of the list for live until its own ping of it fails, and it pings one at random a second beside its neighbour in the ring. Entries of removed daemons stay listed. What a ping tells (draining, lost links, crash records) reaches a daemon that was restarted, and the others of it, only by such a chance. A call that failed told nothing to anybody.

Why this works: a daemon pings each one that is new on its list within 1.5 s, spread over the time, unless that one was heard of first, so one that starts knows the whole list, and is known, within contact_ms. A call without a response starts a ping; the first one that fails makes others be called instead. Pings carry the incarnation, which tells a restart.

--- a/acaciarill/fleet/_members.py
+++ b/acaciarill/fleet/_members.py
@@ -15,7 +15,8 @@
 class Member:
     """Hold the last known state of one daemon; times are on this daemon's clock.
 
-    `is_cut_off` says that it has lost its links to the upstreams.
+    `is_cut_off` says that it has lost its links to the upstreams. `incarnation` differs after each
+    restart; it is empty until the daemon was heard of, or if its build does not tell it.
     """
 
     name: str
@@ -28,11 +29,15 @@
     unreachable_since: float | None = None
     draining: bool = False
     is_cut_off: bool = False
+    incarnation: str = ""
     store_reached_at: float = -STORE_CONTACT_TTL_S
 
 
 class Members:
-    """Hold the state of all daemons; stale state delays requests but breaks no guarantee."""
+    """Hold the state of all daemons; stale state delays requests but breaks no guarantee.
+
+    `on_registered` is called with the name of each other daemon that is new on the list.
+    """
 
     def __init__(
         self, name: str, address: str, data_centre: str, role: str, clock: Callable[[], float]
@@ -41,6 +46,7 @@
         self.clock = clock
         self.own = Member(name, address, data_centre, role, registered=True)
         self.by_name: dict[str, Member] = {name: self.own}
+        self.on_registered: Callable[[str], None] = lambda name: None
 
     def update_registered(self, members: list[Member]) -> None:
         """Apply the list of daemons that are registered in the store."""
@@ -50,6 +56,7 @@
             if existing is None:
                 member.last_contact_at = self.clock()
                 self.by_name[member.name] = member
+                self.on_registered(member.name)
             elif existing is not self.own:
                 if existing.address != member.address:
                     existing.unreachable_since = None
@@ -68,6 +75,7 @@
         store_reached: bool,
         draining: bool = False,
         is_cut_off: bool = False,
+        incarnation: str = "",
     ) -> None:
         """Record what a daemon reported of itself in a ping or in the reply to one."""
         if name == self.name:
@@ -81,6 +89,7 @@
             log_message(message_type="peer:recovered", peer=name)
         member.address, member.last_contact_at, member.unreachable_since = address, now, None
         member.draining, member.is_cut_off = draining, is_cut_off
+        member.incarnation = incarnation
         if store_reached:
             member.store_reached_at = now
 
@@ -95,6 +104,13 @@
                 last_contact_s_ago=round(self.clock() - member.last_contact_at, 1),
             )
 
+    def reachable_at(self, address: str) -> Member | None:
+        """Return the other daemon with an address unless it is known to be unreachable."""
+        for member in self.by_name.values():
+            if member.address == address and member is not self.own:
+                return member if member.unreachable_since is None else None
+        return None
+
     def is_dead(self, name: str) -> bool:
         """Return whether a daemon is unknown or has not answered for PEER_DEAD_AFTER_S."""
         if name == self.name:
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -41,6 +41,11 @@
 """Added to the timeout of a relayed store call for the round trip to the peer."""
 MAX_RELAYS = 2
 MAX_CRASH_SOURCES = 4
+GREETING_SPREAD_S = 0.01
+"""Time over which the pings of all listed daemons are spread, for each of them."""
+GREETING_SPREAD_MIN_S = 0.5
+GREETING_SPREAD_MAX_S = 1.5
+"""With the timeout of a ping, the list is checked well before contact is taken for granted."""
 CRASH_FETCH_RETRY_DELAY_S = 0.1
 
 
@@ -74,6 +79,9 @@
         self.stream_versions: StreamVersions | None = None
         self.fetching_crashes_from: set[str] = set()
         self.fetching_kinds: set[str] = set()
+        self.pinged_addresses: set[str] = set()
+        self.on_call_failure = on_call_failure
+        members.on_registered = self._greet
         own = members.own
         self.greeting = greeting = messages.Greeting(
             protocol_version=PROTOCOL_VERSION,
@@ -83,7 +91,7 @@
         )
         self.task_group = task_group
         self.links = PeerLinks(greeting, task_group)
-        self.links.on_failure = lambda address, kind: on_call_failure(kind)
+        self.links.on_failure = self._handle_call_failure
         self.server = PeerServer(own.address, budget=budget)
         self.server.handlers |= {
             "ping": self._on_ping,
@@ -117,6 +125,7 @@
             draining=own.draining,
             crash_digest=self.quarantine.digest if self.quarantine is not None else 0,
             is_cut_off=own.is_cut_off,
+            incarnation=self.incarnation,
         )
 
     def _process_ping(self, ping: messages.Ping) -> None:
@@ -128,6 +137,7 @@
             bool(ping.store_reached),
             bool(ping.draining),
             bool(ping.is_cut_off),
+            ping.incarnation or "",
         )
         for kind, newest in (ping.newest or {}).items():
             follower = self.followers.get(kind)
@@ -187,12 +197,36 @@
         return member.address
 
     async def _ping(self, address: str, name: str) -> None:
+        self.pinged_addresses.add(address)
         try:
             frame = await self.links.call(address, PING_TIMEOUT_S, ping=self._own_ping())
             self._process_ping(frame.ping)
         except PeerError:
             if name:
                 self.members.record_ping_failure(name)  # logs the first failure in a row
+        finally:
+            self.pinged_addresses.discard(address)
+
+    def _handle_call_failure(self, address: str, kind: str) -> None:
+        """Ping a daemon that did not respond to a call, so that others are called instead."""
+        self.on_call_failure(kind)
+        member = self.members.reachable_at(address)
+        if member is not None and address not in self.pinged_addresses:
+            self.start_ping(member.name)
+
+    def _greet(self, name: str) -> None:
+        """Ping a daemon that is new on the list soon; its host may have been removed long ago.
+
+        It also learns of this one, which may have been restarted.
+        """
+        self.task_group.start_soon(self._ping_unless_heard, name)
+
+    async def _ping_unless_heard(self, name: str) -> None:
+        spread_s = max(GREETING_SPREAD_MIN_S, GREETING_SPREAD_S * len(self.members.by_name))
+        await anyio.sleep(self.rng.random() * min(spread_s, GREETING_SPREAD_MAX_S))
+        member = self.members.by_name.get(name)
+        if member is not None and not member.incarnation:
+            await self._ping(member.address, name)
 
     async def _on_fetch_view(self, call: messages.FetchView) -> dict[str, messages.ViewData]:
         mirror = self._loaded_mirror(call.kind)
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -204,7 +204,8 @@
 
 // Checks whether a daemon is alive and sends the sender's own state. `newest` is the version of the
 // latest change in each of its mirrors, by kind; `crash_digest` is the checksum of its crash records.
-// `is_cut_off` says that the sender has lost its own links to the upstreams.
+// `is_cut_off` says that the sender has lost its own links to the upstreams. `incarnation` differs
+// after each restart of the sender.
 struct Ping {
   1: string daemon,
   2: string address,
@@ -215,6 +216,7 @@
   7: bool draining,
   8: i64 crash_digest,
   9: bool is_cut_off,
+  10: optional string incarnation,
 }
 
 // Requests a mirror, which the protocol calls a view.
--- /dev/null
+++ b/tests/platform/test_membership.py
@@ -0,0 +1,89 @@
+"""Test that daemons soon know which of the listed daemons are there."""
+
+from collections.abc import AsyncIterator
+from contextlib import ExitStack, asynccontextmanager
+
+import anyio
+
+from acaciarill.errors import PeerError
+from acaciarill.fleet_daemon import FleetDaemon
+from acaciarill.peers import messages
+from tests.fakes.event_loop import PlainLoopTestCase
+from tests.fakes.ports import free_port
+from tests.fakes.unresponsive import unresponsive_address
+from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
+
+CONTACT_S = 3.0
+"""Users' time after which a daemon counts as in touch."""
+REMOVED = tuple(f"f{number}" for number in range(10, 22))
+
+
+@asynccontextmanager
+async def run_fleet() -> AsyncIterator[LocalFleet]:
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        async with anyio.create_task_group() as tasks:
+            fleet = LocalFleet(tasks)
+            await fleet.start()
+            yield fleet
+            tasks.cancel_scope.cancel()
+
+
+def unreachable(daemon: FleetDaemon) -> set[str]:
+    """Return the names of the daemons that a daemon cannot reach."""
+    return {m.name for m in daemon.members.by_name.values() if m.unreachable_since is not None}
+
+
+class MembershipTest(PlainLoopTestCase):
+    """Restart daemons beside the entries of removed hosts, and lose one."""
+
+    # The entries of removed daemons stay listed: a daemon that started took all of them for live,
+    # chose them as owners of batches, and noticed one of them a second.
+    async def test_started_daemon_knows_within_contact_s_which_listed_ones_are_gone(self) -> None:
+        async with run_fleet() as fleet:
+            with ExitStack() as addresses:
+                for number, name in enumerate(REMOVED):
+                    address = f"127.0.0.1:{free_port()}"
+                    if number % 2:  # the others refuse connections
+                        addresses.enter_context(unresponsive_address(address))
+                    entry = {"address": address, "data_centre": "a", "role": "front"}
+                    fleet.store.put("daemons", name, entry)
+                for name in ("f2", "s1"):
+                    with self.subTest(role=name):
+                        fleet.scopes[name].cancel()
+                        await fleet.ended[name].wait()
+                        fleet.start_daemon(name, "a")
+                        await wait_until(lambda name=name: name in fleet.daemons)
+                        daemon = fleet.daemons[name]
+                        await wait_until(lambda d=daemon: set(REMOVED) <= d.members.by_name.keys())
+                        with anyio.fail_after(CONTACT_S):
+                            await wait_until(lambda d=daemon: unreachable(d) >= set(REMOVED))
+
+    # A restarted daemon counted as draining at the others until one of them happened to ping it.
+    async def test_restarted_daemon_is_known_to_all_within_contact_s(self) -> None:
+        async with run_fleet() as fleet:
+            for number in range(12):
+                entry = {"address": "127.0.0.1:1", "data_centre": "a", "role": "front"}
+                fleet.store.put("daemons", f"g{number}", entry)
+            others = [fleet.daemons["f1"], fleet.daemons["s1"]]
+            await wait_until(lambda: all(len(d.members.by_name) == 15 for d in others))
+            fleet.stops["f2"].set()
+            await fleet.ended["f2"].wait()
+            for daemon in others:
+                self.assertTrue(daemon.members.by_name["f2"].draining)
+            fleet.start_daemon("f2", "b")
+            with anyio.fail_after(CONTACT_S):
+                await wait_until(lambda: all(not d.members.by_name["f2"].draining for d in others))
+
+    # Only the pings of one daemon at random told that another was lost.
+    async def test_daemon_that_does_not_respond_to_a_call_is_avoided(self) -> None:
+        async with run_fleet() as fleet:
+            caller, lost = fleet.daemons["s1"], fleet.daemons["f2"]
+            fleet.scopes["f2"].cancel()
+            await fleet.ended["f2"].wait()
+            with unresponsive_address(lost.settings.peers):
+                with self.assertRaises(PeerError):
+                    await caller.peers.links.call(
+                        lost.settings.peers, 0.1, fetch_crashes=messages.FetchCrashes()
+                    )
+                await anyio.sleep(1.5)
+                self.assertIn("f2", unreachable(caller))
