Keep the software version of a stream known through restarts in any order

Cause: which software version began a stream is told to two other daemons once, when it begins. A daemon that is restarted learns nothing, one that stops hands nothing over, and nobody tells again. After both holders were restarted only the daemon of the streams knew, and nobody once it ended.

Hypotheses: the holders were not found (another order after the restarts), were not reached, or did not know. The log tells them apart: all 64 take-ups have software_version null, every daemon that was up answered, and the 64 streams:lookup_failed name the front that had ended. Ruled out: the order. It names daemons, not processes, and up to three of each role are asked, which were all others here.

Why this works: the daemon that told others keeps the record, and tells again when holders are restarted, drain, are lost, or when daemons join that come before them; a daemon that was told takes over when that one is gone. A planned stop checks by pings that another daemon which stays knows each stream. So a record has a keeper as long as one daemon that knows is up. A take-up keeps what it found. Records live as long as streams may be taken up, and are bounded in number (max_stream_records) and, by bounded keys, in bytes. Take-ups ask the daemons that come first among the live ones and the two lost ones heard of last: entries of removed machines took the place of holders.

--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -30,7 +30,7 @@
 from ._quarantine import REQUEST_QUARANTINED, Quarantine, TrialGrant
 from ._rate_limits import Permit, RateLimit
 from ._store_channel import StoreChannel
-from ._stream_versions import StreamVersions
+from ._stream_versions import StreamRecord, StreamVersions, bound_stream_key
 from ._streaming import StreamForwarder, is_event_stream
 from ._upstreams import UpstreamState, UpstreamTable
 
@@ -64,6 +64,7 @@
     "Service",
     "StoreChannel",
     "StreamForwarder",
+    "StreamRecord",
     "StreamVersions",
     "Upstream",
     "UpstreamCodec",
@@ -71,6 +72,7 @@
     "UpstreamTable",
     "WRONG_RESPONSE",
     "belongs_to_request",
+    "bound_stream_key",
     "group_routes_by_host",
     "is_event_stream",
 ]
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -9,14 +9,12 @@
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
-from ._stream_versions import StreamVersions, make_stream_key
+from ._stream_versions import StreamVersions, make_stream_key, record_ttl_s, stream_age_s
 from ._upstreams import UpstreamState
 from .const import (
     DEADLINE_RESERVE_S,
     LOOKUP_PATIENCE_FACTOR,
     RETRY_AFTER_MIN_S,
-    STREAM_AGE_FACTOR,
-    STREAM_AGE_MIN_S,
 )
 
 CONTENT_TYPE = b"content-type"
@@ -142,7 +140,7 @@
             max_wait_s = LOOKUP_PATIENCE_FACTOR * (request.deadline - self.forwarder.clock())
             stream_key = make_stream_key(request.customer, request.resumed_id)
             software_version = await self.stream_versions.find(stream_key, max_wait_s)
-        age_s = max(STREAM_AGE_MIN_S, STREAM_AGE_FACTOR * request.route.timeout_s)
+        age_s = stream_age_s(request.route.timeout_s)
         if software_version is None and await self.confirm_upstreams(age_s):
             software_version = self.forwarder.table.only_software_version(request.service, age_s)
         log_message(
@@ -165,7 +163,8 @@
         stream_id = request.resumed_id if request.is_resumption else request.id
         if self.stream_versions is not None and request.route.resumable and stream_id:
             stream_key = make_stream_key(request.customer, stream_id)
-            self.stream_versions.record(stream_key, state.upstream.software_version)
+            ttl_s = record_ttl_s(request.route.timeout_s)
+            self.stream_versions.record(stream_key, state.upstream.software_version, ttl_s)
 
     async def _attempt(
         self,
--- a/acaciarill/fleet/const.py
+++ b/acaciarill/fleet/const.py
@@ -118,10 +118,26 @@
 MAX_CRASH_RECORDS = 1000
 
 STREAM_VERSION_TTL_S = 300.0
-"""How long it is known which software version began a stream."""
+"""How long it is known at least which software version began a stream."""
 MAX_STREAM_VERSIONS = 50_000
+STREAM_RECORD_BYTES = 640
+"""What the record of one stream takes in memory at most."""
+STREAM_MEMORY_SHARE = 0.1
+"""Share of the process's memory that records of streams may take."""
+MAX_STREAM_KEY_CHARACTERS = 96
+MAX_STREAM_TTL_S = 24 * 3600.0
+MAX_STREAMS_PER_MESSAGE = 200
+RECORDS_PER_TURN = 500
+"""How many records are checked at a time; other tasks run in between."""
+STREAM_HOLDERS_PERIOD_S = 0.5
+"""How often it is checked whether the daemons that know the streams are still there."""
+HAND_OVER_POLL_S = 0.1
+FINAL_HAND_OVER_S = 0.3
+"""Time, of DRAIN_MARGIN_S, for a last check that others know the streams; pings take some ms."""
 STREAM_HOLDERS_ASKED = 3
 """How many daemons of each role are asked for a stream; the order may have changed since."""
+LOST_HOLDERS_ASKED = 2
+"""How many daemons that seem lost are asked too, those that were heard of last."""
 STREAM_LOOKUP_TIMEOUT_S = 2.0
 LOOKUP_PATIENCE_FACTOR = 0.5
 """Share of a request's remaining time for which it waits for the daemons that may know its
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -49,9 +49,11 @@
     DRAIN_POLL_S,
     DUTY_LEASE_RENEW_PERIOD_S,
     DUTY_LEASE_TTL_S,
+    FINAL_HAND_OVER_S,
     PING_PERIOD_S,
     RETIRE_PERIOD_S,
     SCALE_PERIOD_S,
+    STREAM_HOLDERS_PERIOD_S,
     USAGE_COLLECTION_PERIOD_S,
     WEIGHTS_PERIOD_S,
 )
@@ -109,6 +111,7 @@
         self.store = ports.store(self.channel)
         self.ready = False
         self.draining = False
+        self.clients_drained = False
         self.drain_deadline = math.inf
         self.members = Members(
             settings.host, settings.peers, settings.data_centre, settings.role, self.clock
@@ -251,11 +254,15 @@
         )
         self.stream_versions = StreamVersions(
             self.members,
-            self.peers.tell_stream_begun,
+            self.peers.tell_streams,
             self.peers.find_stream,
             self.clock,
+            self.task_group.start_soon,
             self.metrics.count_stream_lookup,
+            self.metrics.count_streams_told,
+            self.settings.max_stream_records,
         )
+        self.metrics.watch_streams(self.stream_versions)
         self.peers.stream_versions = self.stream_versions
         self.scheduler = EngineScheduler(
             self.table,
@@ -423,6 +430,7 @@
         subscribe(MISSING_ENTRY_CHECK_PERIOD_S, self._expire_missing_upstreams)
         subscribe(DRAIN_POLL_S, self._check_progress)
         subscribe(RELAY_PING_PERIOD_S, self.relay_client.ping_relays)
+        subscribe(STREAM_HOLDERS_PERIOD_S, self.stream_versions.update_holders)
         if self.edge_server is not None:
             await self.task_group.start(self.edge_server.run)
             subscribe(CLAIM_PERIOD_S, self.batch_manager.claim_and_expire)
@@ -541,6 +549,9 @@
             tasks.start_soon(self._leave_fleet)
             if self.edge_server is not None:
                 await self._drain_clients(self.edge_server, started)
+            self.clients_drained = True
+        with anyio.move_on_after(max(FINAL_HAND_OVER_S, self.drain_deadline - self.clock())):
+            await self._check_streams_handed_over()
         await self._finish_relaying(self.drain_deadline)
         if self.edge_server is not None:
             self.edge_server.stop_accepting()
@@ -551,11 +562,25 @@
             {
                 "release duties": self.duties.release_all,
                 "hand over batches": self.batch_manager.hand_over,
+                "hand over streams": self._hand_over_streams,
             },
             self.drain_deadline - self.clock(),
             self.metrics.count_drain_step,
         )
 
+    async def _hand_over_streams(self) -> None:
+        """Hand over what is known of streams, and again while clients are still served."""
+        await self.stream_versions.hand_over()
+        while self.edge_server is not None and not self.clients_drained:
+            await anyio.sleep(PING_PERIOD_S)
+            await self._check_streams_handed_over()
+
+    async def _check_streams_handed_over(self) -> None:
+        """Hand over the streams of which only daemons knew that are lost by now."""
+        if self.stream_versions.beginnings:
+            await self.peers.ping_all()
+            await self.stream_versions.hand_over()
+
     async def _drain_clients(self, edge_server: EdgeServer, started: float) -> None:
         """Close idle connections, finish the requests that run, and end those that run too long."""
         await anyio.sleep(DRAIN_NOTICE_S)
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -4,6 +4,7 @@
 
 from ..batches import TextCache
 from ..connection_budget import ConnectionBudget
+from ..fleet import StreamVersions
 from ..mirrors import MirrorFollower
 
 
@@ -66,6 +67,19 @@
             registry=self.registry,
         )
 
+        self.stream_records = Gauge(
+            "acaciarill_stream_records",
+            "Streams whose software version this daemon knows, and those to be told to others",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.streams_told = Counter(
+            "acaciarill_streams_told",
+            "Streams whose software version was told to another daemon, by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
+
         self.text_bytes = Gauge(
             "acaciarill_text_bytes",
             "Bytes of unfinished texts of batches, and of results that may be used again",
@@ -182,6 +196,17 @@
         """Count one stream that a client took up."""
         self.stream_lookups.labels(outcome).inc()
 
+    def count_streams_told(self, outcome: str, count: int) -> None:
+        """Count streams of which another daemon was told."""
+        self.streams_told.labels(outcome).inc(count)
+
+    def watch_streams(self, streams: StreamVersions) -> None:
+        """Report how many streams are known whenever the metrics are read."""
+        self.stream_records.labels("known").set_function(lambda: len(streams.beginnings))
+        self.stream_records.labels("untold").set_function(
+            lambda: sum(map(len, streams.untold.values()))
+        )
+
     def count_permit(self, outcome: str) -> None:
         """Count one request for a permit."""
         self.permits.labels(outcome).inc()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -12,7 +12,7 @@
 from ..batches import BatchManager, Result, ResultPage
 from ..connection_budget import ConnectionBudget
 from ..control import StartedRequestCounter
-from ..errors import Outcome, PeerError, Step
+from ..errors import BadRequestError, Outcome, PeerError, Step
 from ..fleet import (
     ROLE_FRONT,
     Members,
@@ -21,14 +21,18 @@
     RateLimit,
     RatePermits,
     StoreChannel,
+    StreamRecord,
     StreamVersions,
     TrialGrant,
     UpstreamTable,
+    bound_stream_key,
 )
 from ..fleet.const import (
+    MAX_STREAM_TTL_S,
     PERMIT_TIMEOUT_S,
     PING_TIMEOUT_S,
     STREAM_LOOKUP_TIMEOUT_S,
+    STREAM_VERSION_TTL_S,
     VIEW_FETCH_DELAY_S,
 )
 from ..mirrors import Mirror, MirrorFollower, Record
@@ -107,6 +111,7 @@
             "fetch_crashes": self._on_fetch_crashes,
             "take_trial": self._on_take_trial,
             "stream_begun": self._on_stream_begun,
+            "streams_begun": self._on_streams_begun,
             "find_stream": self._on_find_stream,
             "watch_views": MirrorServer(followers, members.clock, urgent_kinds).on_watch_views,
         }
@@ -513,33 +518,63 @@
 
     # Streams
 
-    def tell_stream_begun(self, holder: str, stream: str, software_version: str) -> None:
-        """Tell a daemon which software version began a stream; do not wait."""
-        call = messages.StreamBegun(stream=stream, software_version=software_version)
-        self.task_group.start_soon(self._send_stream_begun, holder, call)
-
-    async def _send_stream_begun(self, holder: str, call: messages.StreamBegun) -> None:
-        try:
-            await self.links.call(self._address_of(holder), PING_TIMEOUT_S, stream_begun=call)
-        except PeerError as error:
-            log_message(message_type="streams:tell_failed", peer=holder, reason=error.message)
+    async def tell_streams(self, holder: str, records: list[StreamRecord]) -> None:
+        """Tell a daemon which software versions began streams; raise PeerError."""
+        address = self._address_of(holder)
+        streams = [
+            messages.StreamBegun(
+                stream=record.stream_key,
+                software_version=record.software_version,
+                remaining_s=record.remaining_s,
+            )
+            for record in records
+        ]
+        if len(streams) > 1:
+            call = messages.StreamsBegun(streams=streams, teller=self.incarnation)
+            try:
+                await self.links.call(address, PING_TIMEOUT_S, streams_begun=call)
+                return
+            except PeerError as error:
+                if error.code != BadRequestError.code:
+                    raise  # else it runs an earlier build, which takes one stream at a time
+        for stream in streams:
+            stream.teller = self.incarnation
+            await self.links.call(address, PING_TIMEOUT_S, stream_begun=stream)
 
     async def _on_stream_begun(self, call: messages.StreamBegun) -> dict[str, messages.Done]:
-        if self.stream_versions is not None:
-            self.stream_versions.store(call.stream, call.software_version)
+        self._store_streams([call], call.teller or "")
+        return {"done": messages.Done()}
+
+    async def _on_streams_begun(self, call: messages.StreamsBegun) -> dict[str, messages.Done]:
+        self._store_streams(call.streams or [], call.teller or "")
         return {"done": messages.Done()}
 
-    async def find_stream(self, holder: str, stream: str) -> str | None:
+    def _store_streams(self, streams: list[messages.StreamBegun], teller: str) -> None:
+        if self.stream_versions is None:
+            return
+        for stream in streams:
+            key = bound_stream_key(stream.stream or "")
+            ttl_s = _stream_ttl_s(stream.remaining_s)
+            self.stream_versions.store(key, stream.software_version or "", ttl_s, teller)
+
+    async def find_stream(self, holder: str, stream: str) -> StreamRecord | None:
         """Ask a daemon which software version began a stream; raise PeerError."""
         call = messages.FindStream(stream=stream)
         address = self._address_of(holder)
         frame = await self.links.call(address, STREAM_LOOKUP_TIMEOUT_S, find_stream=call)
-        return frame.found_stream.software_version
+        found = frame.found_stream
+        if found.software_version is None:
+            return None
+        return StreamRecord(stream, found.software_version, _stream_ttl_s(found.remaining_s))
 
     async def _on_find_stream(self, call: messages.FindStream) -> dict[str, messages.FoundStream]:
-        versions = self.stream_versions
-        software_version = versions.get(call.stream) if versions is not None else None
-        return {"found_stream": messages.FoundStream(software_version=software_version)}
+        found = messages.FoundStream()
+        if self.stream_versions is not None:
+            record = self.stream_versions.get_record(bound_stream_key(call.stream or ""))
+            if record is not None:
+                found.software_version = record.software_version
+                found.remaining_s = record.remaining_s
+        return {"found_stream": found}
 
     # Usage
 
@@ -573,3 +608,10 @@
         return {
             "collected_usage": messages.CollectedUsage(incarnation=self.incarnation, counts=counts)
         }
+
+
+def _stream_ttl_s(remaining_s: float | None) -> float:
+    """Return for how long a stream is to be known that another daemon told of, in seconds."""
+    if remaining_s is None:  # earlier builds do not tell it
+        return STREAM_VERSION_TTL_S
+    return min(max(0.0, remaining_s), MAX_STREAM_TTL_S)
--- a/acaciarill/fleet_daemon/_ports.py
+++ b/acaciarill/fleet_daemon/_ports.py
@@ -10,7 +10,7 @@
 from ..control import OrderOutcome
 from ..edge import Request, Responder
 from ..fleet import Configuration, StoreChannel, Upstream, UpstreamCodec, UpstreamState
-from ..fleet.const import DUTY_LEASE_TTL_S
+from ..fleet.const import DUTY_LEASE_TTL_S, MAX_STREAM_VERSIONS
 from ..leases import Lease
 from ..mirrors import KindSource, Record
 from .const import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
@@ -27,7 +27,7 @@
     `duty_return_delay_s` is how long after it has last acted for a duty a daemon does not succeed
     another holder of that duty. `batch_retention_s` is how long after their submission the results
     of batches that have been ended can still be read. `connection_limits` bound what the
-    connections at all listeners hold together.
+    connections at all listeners hold together, `max_stream_records` how many streams are known.
     """
 
     host: str
@@ -46,6 +46,7 @@
     duty_return_delay_s: float = DUTY_LEASE_TTL_S
     batch_retention_s: float = DEFAULT_RETENTION_S
     connection_limits: ConnectionLimits = field(default_factory=ConnectionLimits)
+    max_stream_records: int = MAX_STREAM_VERSIONS
 
 
 @dataclass(slots=True, frozen=True)
--- a/acaciarill/peers/__init__.py
+++ b/acaciarill/peers/__init__.py
@@ -5,7 +5,13 @@
 from ._links import PeerLinks
 from ._messages import messages
 from ._server import PeerServer
-from ._topology import distribution_tree_order, parent_candidates, rendezvous_order, select_relays
+from ._topology import (
+    distribution_tree_order,
+    parent_candidates,
+    rendezvous_order,
+    rendezvous_rank,
+    select_relays,
+)
 
 __all__ = [
     "CONNECTION_ERRORS",
@@ -18,5 +24,6 @@
     "parent_candidates",
     "distribution_tree_order",
     "rendezvous_order",
+    "rendezvous_rank",
     "select_relays",
 ]
--- a/acaciarill/peers/_topology.py
+++ b/acaciarill/peers/_topology.py
@@ -12,10 +12,11 @@
     Daemons with the same list of names compute the same order without communicating, and removing
     a name leaves the order of the others as it is.
     """
-    return sorted(names, key=lambda name: _rendezvous_hash(key, name))
+    return sorted(names, key=lambda name: rendezvous_rank(key, name))
 
 
-def _rendezvous_hash(key: str, name: str) -> bytes:
+def rendezvous_rank(key: str, name: str) -> bytes:
+    """Return the rendezvous hash of a name for a key, by which the names are ordered."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
 
 
--- a/acaciarill/peers/protocol.thrift
+++ b/acaciarill/peers/protocol.thrift
@@ -359,10 +359,19 @@
 }
 
 // Tells which software version of a service began a stream; `stream` is the id of the request that
-// brought its first event.
+// brought its first event. It is to be known for `remaining_s`, by default for 5 minutes. `teller` is
+// the incarnation of the sender, which sees to it that enough daemons know the stream.
 struct StreamBegun {
   1: string stream,
   2: string software_version,
+  3: optional double remaining_s,
+  4: optional string teller,
+}
+
+// Tells the same of several streams.
+struct StreamsBegun {
+  1: list<StreamBegun> streams,
+  2: string teller,
 }
 
 // Asks which software version began a stream.
@@ -373,6 +382,7 @@
 // `software_version` is missing if the sender does not know the stream.
 struct FoundStream {
   1: optional string software_version,
+  2: optional double remaining_s,
 }
 
 // Asks the receiver to send a request to an upstream, once, for a daemon that has lost its own links.
@@ -449,6 +459,7 @@
   43: optional FindStream find_stream,
   44: optional FoundStream found_stream,
   45: optional Relay relay,
+  46: optional StreamsBegun streams_begun,
 }
 
 // The progress of a consumer of a step. A trainer sends it with each pull, as an opaque string.
--- a/acaciarill/platform/_main.py
+++ b/acaciarill/platform/_main.py
@@ -96,6 +96,7 @@
         memory_bytes=settings.memory_bytes,
         batch_retention_s=settings.batch_retention_s,
         connection_limits=settings.connection_limits,
+        max_stream_records=settings.max_stream_records,
         duty_return_delay_s=settings.duty_turn_s + DUTY_ARRIVAL_MARGIN_S,
     )
 
--- a/acaciarill/platform/_settings.py
+++ b/acaciarill/platform/_settings.py
@@ -8,6 +8,7 @@
 
 from ..connection_budget import DEFAULT_MAX_DESCRIPTORS, ConnectionLimits
 from ..errors import ConfigError, ConfigFault
+from ..fleet.const import MAX_STREAM_VERSIONS, STREAM_MEMORY_SHARE, STREAM_RECORD_BYTES
 from ..fleet_daemon import DEFAULT_MAX_OBJECT_BYTES, DEFAULT_MEMORY_BYTES
 from .const import METRICS_PORT, SETTINGS_PATH, SETTINGS_VARIABLE
 
@@ -23,7 +24,7 @@
     The process listens at `callers` for clients, at `readiness` for readiness probes and at `peers`
     for other daemons; `store` and `duty_api` are addresses of the platform. `max_object_bytes`
     limits a stored object, `memory_bytes` the memory of the process. Holders of a duty must not
-    take turns within `duty_turn_s`.
+    take turns within `duty_turn_s`. `max_stream_records` limits the streams that are known.
     """
 
     host: str
@@ -45,6 +46,7 @@
     data_centres: tuple[str, ...] = field(default=())
     duty_turn_s: float = DEFAULT_DUTY_TURN_S
     connection_limits: ConnectionLimits = field(default_factory=ConnectionLimits)
+    max_stream_records: int = MAX_STREAM_VERSIONS
 
 
 def settings_path() -> Path:
@@ -93,6 +95,7 @@
             bounds["lease_ms"] / MS_PER_S if "lease_ms" in bounds else DEFAULT_DUTY_TURN_S
         ),
         connection_limits=_connection_limits(raw),
+        max_stream_records=_max_stream_records(raw),
     )
 
 
@@ -108,6 +111,13 @@
     )
 
 
+def _max_stream_records(raw: dict[str, Any]) -> int:
+    """Return the limit of known streams, by the memory unless the table of this program sets it."""
+    share = int(STREAM_MEMORY_SHARE * _memory_bytes(raw.get("limits", {})))
+    derived = max(1, min(MAX_STREAM_VERSIONS, share // STREAM_RECORD_BYTES))
+    return _positive(raw.get(OWN_TABLE, {}), "max_stream_records", derived)
+
+
 def _positive(table: dict[str, Any], name: str, default: int) -> int:
     value = table.get(name, default)
     if type(value) is not int or value <= 0:
--- a/tests/fleet/test_streaming.py
+++ b/tests/fleet/test_streaming.py
@@ -18,6 +18,7 @@
     Route,
     RouteKind,
     StreamForwarder,
+    StreamRecord,
     StreamVersions,
     Upstream,
     UpstreamCodec,
@@ -130,10 +131,13 @@
         clock = anyio.current_time
         members = Members("f1", "f1", "dc", "front", clock)
 
+        async def tell(holder: str, records: list[StreamRecord]) -> None:
+            return
+
         async def ask(holder: str, key: str) -> None:
             return None
 
-        versions = StreamVersions(members, lambda *told: None, ask, clock)
+        versions = StreamVersions(members, tell, ask, clock, lambda *task: None)
         table = UpstreamTable("dc", clock, random.Random(1))
         upstream = Upstream("u", "u", "s", "127.0.0.1:1", "dc", 8, software_version="v1")
         table.update([upstream])
--- a/tests/platform/raw_fleet.py
+++ b/tests/platform/raw_fleet.py
@@ -16,6 +16,7 @@
     Members,
     Route,
     RouteKind,
+    StreamRecord,
     StreamVersions,
     Upstream,
     UpstreamTable,
@@ -161,6 +162,9 @@
         )
         members = Members("f1", "f1", "dc", "front", clock)
 
+        async def tell(holder: str, records: list[StreamRecord]) -> None:
+            return
+
         async def ask(holder: str, key: str) -> None:
             return None
 
@@ -170,7 +174,7 @@
         handler = RequestHandler(
             lambda: configuration,
             Forwarder(sender, table, clock, random.Random(1)),
-            StreamVersions(members, lambda *told: None, ask, clock),
+            StreamVersions(members, tell, ask, clock, tasks.start_soon),
             confirm_upstreams,
             None,  # type: ignore[arg-type]
             clock,
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -13,6 +13,7 @@
 from acaciarill.edge import ResponseHead
 from acaciarill.errors import BadRequestError, ConfigError, UpstreamError
 from acaciarill.fleet import Attempt, LoadReport, RouteKind, Upstream
+from acaciarill.fleet.const import MAX_STREAM_VERSIONS
 from acaciarill.mirrors import DECODE_ERRORS, Record
 from acaciarill.platform._decode import (
     EventReader,
@@ -457,3 +458,14 @@
         for value in ("0", "-1", "true", '"many"', "1.5"):
             with self.assertRaisesRegex(ConfigError, "max_connections"):
                 self.load(text + f"[acaciarill]\nmax_connections = {value}\n")
+
+    def test_reads_limit_of_stream_records(self) -> None:
+        self.assertEqual(self.load(self.TEXT).max_stream_records, 41_943)
+        for memory_mb, records in ((64, 10_485), (300, 49_152), (4096, MAX_STREAM_VERSIONS)):
+            text = self.TEXT + f"[limits]\nmemory_mb = {memory_mb}\n"
+            self.assertEqual(self.load(text).max_stream_records, records)
+        own = self.TEXT + "[acaciarill]\nmax_stream_records = 9\n"
+        self.assertEqual(self.load(own).max_stream_records, 9)
+        for value in ("0", "-1", "true", '"many"', "1.5"):
+            with self.assertRaisesRegex(ConfigError, "max_stream_records"):
+                self.load(self.TEXT + f"[acaciarill]\nmax_stream_records = {value}\n")
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -10,7 +10,9 @@
 import anyio
 
 from acaciarill.edge import Request, Responder
+from acaciarill.errors import PeerError
 from acaciarill.fleet.const import DRAIN_NOTICE_S
+from acaciarill.peers import messages
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.unresponsive import unresponsive_address
 from tests.platform.fakes import submission
@@ -56,11 +58,17 @@
 async def keep_calling(fleet: LocalFleet, name: str) -> None:
     """Make calls to all other daemons, more often than a silent one lets them fail in turn."""
     daemon = fleet.daemons[name]
-    while not daemon.draining:
-        for member in list(daemon.members.by_name.values()):
-            if member is not daemon.members.own:
-                daemon.peers.tell_stream_begun(member.name, "stream", "v1")
-        await anyio.sleep(1.0 / CALLS_EACH_S)
+
+    async def call(address: str) -> None:
+        with suppress(PeerError):
+            await daemon.peers.links.call(address, 0.8, fetch_crashes=messages.FetchCrashes())
+
+    async with anyio.create_task_group() as calls:
+        while not daemon.draining:
+            for member in list(daemon.members.by_name.values()):
+                if member is not daemon.members.own:
+                    calls.start_soon(call, member.address)
+            await anyio.sleep(1.0 / CALLS_EACH_S)
 
 
 async def wait_until_closed(address: str) -> float:
