Test that crash records outlive a restart beside the entries of removed hosts

A daemon that started asked four daemons of its list for crash records, and was ready after 1 s without any if these had been removed long ago: requests that crash upstreams would have run there again.

Tried and taken back: asking further daemons every 0.1 s. It is not needed, and each start would wait longer.

--- a/tests/platform/test_membership.py
+++ b/tests/platform/test_membership.py
@@ -87,3 +87,24 @@
                     )
                 await anyio.sleep(1.5)
                 self.assertIn("f2", unreachable(caller))
+
+    # A daemon that started asked four of the list for crash records, and waited for their timeouts.
+    async def test_started_daemon_knows_the_crash_records_beside_removed_hosts(self) -> None:
+        async with run_fleet() as fleet:
+            with ExitStack() as addresses:
+                for name in REMOVED:
+                    address = f"127.0.0.1:{free_port()}"
+                    addresses.enter_context(unresponsive_address(address))
+                    entry = {"address": address, "data_centre": "a", "role": "keeper"}
+                    fleet.store.put("daemons", f"a{name}", entry)
+                fleet.daemons["f1"].quarantine.record_crash("lifetime", "request")
+                for name in ("f2", "s1"):
+                    with self.subTest(role=name):
+                        fleet.scopes[name].cancel()
+                        await fleet.ended[name].wait()
+                        fleet.start_daemon(name, "a")
+                        await wait_until(lambda name=name: name in fleet.daemons)
+                        daemon = fleet.daemons[name]
+                        await wait_until(lambda d=daemon: d.ready)
+                        digest = fleet.daemons["f1"].quarantine.digest
+                        self.assertEqual(daemon.quarantine.digest, digest)
