Load each submission once, and one at a time

The front that does not own the batch was killed for its memory, and requests that it had passed on from kept connections ended unanswered.

Cause: each read that found the submission not cached loaded and decoded all of it by itself. A restart empties the cache, so all do at the same moment. Neither their number nor what they hold was bounded.

Evidence: 16 concurrent reads of a batch of three parts read the store 48 times and decode it 16 times (new test).

Why this works: reads of one batch share one load and its failure; batches are loaded in turn, so one at most is held beside the cache, and one that waits for its turn for over 2 s is refused as not run. If the reader that loads leaves, the next one loads.

--- a/acaciarill/batches/_heads.py
+++ b/acaciarill/batches/_heads.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -13,7 +14,13 @@
 from ._log import ObjectAccess
 from ._model import BatchHead, Submission
 from ._submission_limits import SubmissionLimits, submission_bytes
-from .const import KIND_HEADS, KIND_PARTS, MAX_CACHED_BATCHES, WRITE_RETRY_DELAY_S
+from .const import (
+    KIND_HEADS,
+    KIND_PARTS,
+    LOAD_TURN_TIMEOUT_S,
+    MAX_CACHED_BATCHES,
+    WRITE_RETRY_DELAY_S,
+)
 
 
 class NotFoundError(AcaciarillError):
@@ -24,8 +31,20 @@
     outcome = Outcome.NOT_RUN
 
 
+@dataclass(slots=True)
+class _Load:
+    """Hold the outcome of loading one submission, which all that ask for it meanwhile share."""
+
+    finished: anyio.Event = field(default_factory=anyio.Event)
+    submission: Submission | None = None
+    error: StoreError | None = None
+
+
 class BatchHeadStore:
-    """Read heads, replace them conditionally, and cache submissions."""
+    """Read heads, replace them conditionally, and cache submissions.
+
+    Submissions are loaded one at a time: one may be as long as the memory allows.
+    """
 
     def __init__(
         self,
@@ -40,6 +59,8 @@
         self.max_cached_bytes = max_cached_bytes
         self.submissions: OrderedDict[str, Submission] = OrderedDict()
         self.cached_bytes = 0
+        self.loads: dict[str, _Load] = {}
+        self.load_turn = anyio.Lock()
 
     async def find(self, batch_id: str, customer: str) -> BatchHead:
         """Return the head of a customer's batch; raise NotFoundError, StoreError."""
@@ -81,13 +102,37 @@
         return True
 
     async def load_submission(self, batch_id: str, head: BatchHead) -> Submission:
-        """Return the submission of a batch, cached or from the store; raise StoreError."""
-        cached = self.submissions.get(batch_id)
-        if cached is not None:
-            return cached
-        submission = self.decode_submission(await self.load_body(batch_id, head))
-        self.cache_submission(batch_id, submission)
-        return submission
+        """Return the submission of a batch, cached or from the store; raise StoreError.
+
+        Concurrent calls for one batch share one load, also its failure.
+        """
+        while True:
+            cached = self.submissions.get(batch_id)
+            if cached is not None:
+                return cached
+            load = self.loads.get(batch_id)
+            if load is None:
+                return await self._load(batch_id, head)
+            await load.finished.wait()
+            if load.error is not None:
+                raise load.error
+            if load.submission is not None:
+                return load.submission
+            # Whoever loaded it has given up, for example as its client left.
+
+    async def _load(self, batch_id: str, head: BatchHead) -> Submission:
+        load = self.loads[batch_id] = _Load()
+        try:
+            submission = self.decode_submission(await self.load_body(batch_id, head))
+            self.cache_submission(batch_id, submission)
+            load.submission = submission
+            return submission
+        except StoreError as error:
+            load.error = error
+            raise
+        finally:
+            del self.loads[batch_id]
+            load.finished.set()
 
     def cache_submission(self, batch_id: str, submission: Submission) -> None:
         """Cache a submission and evict the oldest entries."""
@@ -105,13 +150,22 @@
 
     async def load_body(self, batch_id: str, head: BatchHead) -> bytes:
         """Return the submitted bytes of a batch from the store; raise StoreError."""
-        parts = []
-        for index in range(head.parts):
-            stored = await self.store.get(part_key(batch_id, head.digest, index))
-            if stored is None:
-                raise StoreError("a part of the batch is missing in the store", step=Step.STORE)
-            parts.append(orjson.loads(stored[0]))
-        return "".join(parts).encode()
+        with anyio.move_on_after(LOAD_TURN_TIMEOUT_S) as turn_scope:
+            await self.load_turn.acquire()
+        if turn_scope.cancelled_caught:
+            raise StoreError(
+                "other batches are being loaded", step=Step.STORE, outcome=Outcome.NOT_RUN
+            )
+        try:
+            parts = []
+            for index in range(head.parts):
+                stored = await self.store.get(part_key(batch_id, head.digest, index))
+                if stored is None:
+                    raise StoreError("a part of the batch is missing in the store", step=Step.STORE)
+                parts.append(orjson.loads(stored[0]))
+            return "".join(parts).encode()
+        finally:
+            self.load_turn.release()
 
 
 def put_bounded(cache: OrderedDict[str, Any], key: str, value: Any) -> None:
--- a/acaciarill/batches/const.py
+++ b/acaciarill/batches/const.py
@@ -43,6 +43,8 @@
 RUN_RETRY_DELAY_S = 0.3
 ROUTE_POLL_PERIOD_S = 0.1
 """Interval at which an owner checks whether its configuration is as new as its batch's."""
+LOAD_TURN_TIMEOUT_S = 2.0
+"""How long a batch waits while others are loaded from the store, about as a call to it may take."""
 ACCEPT_TIMEOUT_S = 8.0
 """Accepting a batch takes at most this time; clients wait 12 s."""
 READ_POLL_PERIOD_S = 0.3
