Notice neighbours in the ring that are lost together at the same time

Cause: a daemon pings the one before it in the ring, and the next one only once that counts as dead, 3.3 s later. A batch is claimed by the next live daemon, so with each neighbour that is lost too the claim comes that much later.

Why this works: a neighbour that has just been lost makes its successor ping up to 64 before it at once. Lost daemons that stay listed cause no further pings.

--- a/acaciarill/fleet/_members.py
+++ b/acaciarill/fleet/_members.py
@@ -142,6 +142,20 @@
                 break
         return predecessors
 
+    def ring_before(self, count: int) -> list[str]:
+        """Return the names of the daemons before this one in the ring, the nearest first."""
+        ring = self.ring(self.own.role)
+        if self.name not in ring:
+            return []
+        index = ring.index(self.name)
+        return [ring[index - step] for step in range(1, min(count + 1, len(ring)))]
+
+    def has_lost_neighbour(self, period_s: float) -> bool:
+        """Return whether a daemon right before this one in the ring was lost in a past period."""
+        lost_times = [self.by_name[name].unreachable_since for name in self.predecessors()]
+        now = self.clock()
+        return any(at is not None and now - at < period_s for at in lost_times)
+
     def is_successor_of(self, owner: str) -> bool:
         """Return whether an owner is dead and this daemon is the next live one in the ring."""
         if not self.is_dead(owner):
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -30,6 +30,7 @@
 from ..fleet.const import (
     MAX_STREAM_TTL_S,
     PERMIT_TIMEOUT_S,
+    PING_PERIOD_S,
     PING_TIMEOUT_S,
     STREAM_LOOKUP_TIMEOUT_S,
     STREAM_VERSION_TTL_S,
@@ -45,6 +46,8 @@
 """Added to the timeout of a relayed store call for the round trip to the peer."""
 MAX_RELAYS = 2
 MAX_CRASH_SOURCES = 4
+MAX_NEIGHBOURS_PINGED = 64
+"""How many daemons before this one in the ring are pinged once the nearest is lost."""
 GREETING_SPREAD_S = 0.01
 """Time over which the pings of all listed daemons are spread, for each of them."""
 GREETING_SPREAD_MIN_S = 0.5
@@ -175,6 +178,11 @@
         async with anyio.create_task_group() as pings:
             for address, name in targets.items():
                 pings.start_soon(self._ping, address, name)
+        if members.has_lost_neighbour(PING_PERIOD_S):
+            # Daemons of one rack are neighbours in the ring, and may be lost together.
+            for name in members.ring_before(MAX_NEIGHBOURS_PINGED):
+                if members.by_name[name].unreachable_since is None:
+                    self.start_ping(name)
 
     async def ping_all(self) -> None:
         """Ping all daemons now, to announce newer mirrors or a drain."""
--- a/tests/platform/test_membership.py
+++ b/tests/platform/test_membership.py
@@ -7,7 +7,7 @@
 
 from acaciarill.errors import PeerError
 from acaciarill.fleet_daemon import FleetDaemon
-from acaciarill.peers import messages
+from acaciarill.peers import PeerServer, messages
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.ports import free_port
 from tests.fakes.unresponsive import unresponsive_address
@@ -108,3 +108,58 @@
                         await wait_until(lambda d=daemon: d.ready)
                         digest = fleet.daemons["f1"].quarantine.digest
                         self.assertEqual(daemon.quarantine.digest, digest)
+
+
+class LostNeighboursTest(PlainLoopTestCase):
+    """Guard against noticing lost neighbours in the ring one after the other (review/12).
+
+    Nobody took their batches over until the last of them counted as dead.
+    """
+
+    LIMIT_S = CONTACT_S + 5.0
+    """Users' time after which an item may not be left alone."""
+
+    async def serve_pings(self, name: str, address: str, scope: anyio.CancelScope) -> None:
+        server = PeerServer(address)
+
+        async def answer(ping: messages.Ping) -> dict[str, messages.Ping]:
+            reply = messages.Ping(
+                daemon=name, address=address, data_centre="a", role="front", incarnation=name
+            )
+            return {"ping": reply}
+
+        server.handlers["ping"] = answer
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(server.run)
+
+    async def test_batches_of_many_lost_neighbours_are_taken_over_in_time(self) -> None:
+        names = [f"f1{number:02}" for number in range(24)]
+        async with run_fleet() as fleet:
+            daemon = fleet.daemons["f2"]
+            addresses = {name: f"127.0.0.1:{free_port()}" for name in names}
+            scopes = {name: anyio.CancelScope() for name in names}
+            for name, address in addresses.items():
+                fleet.tasks.start_soon(self.serve_pings, name, address, scopes[name])
+                entry = {"address": address, "data_centre": "a", "role": "front"}
+                fleet.store.put("daemons", name, entry)
+            members = daemon.members
+            await wait_until(lambda: all(n in members.by_name for n in names))
+            await wait_until(lambda: all(members.by_name[n].incarnation for n in names))
+            with ExitStack() as silent:
+                for name, scope in scopes.items():
+                    scope.cancel()
+                    await self.wait_until_closed(addresses[name])
+                    silent.enter_context(unresponsive_address(addresses[name]))
+                with anyio.fail_after(self.LIMIT_S):
+                    await wait_until(lambda: all(members.is_successor_of(n) for n in names))
+
+    async def wait_until_closed(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        while True:
+            try:
+                stream = await anyio.connect_tcp(host, int(port))
+            except OSError:
+                return
+            await stream.aclose()
+            await anyio.sleep(0.01)
