Let a stream begin anew under a key that has expired

Found by reading. An expired record stayed until the next one was added, and counted as the first one of its key: a request with the same id got the old software version and no new time. Expired records are dropped first now. The new test failed before the change (v1 or nothing in place of v2).

--- a/acaciarill/fleet/_stream_versions.py
+++ b/acaciarill/fleet/_stream_versions.py
@@ -147,6 +147,7 @@
 
     def _add(self, stream_key: str, software_version: str, ttl_s: float) -> _Beginning:
         """Add a record unless it is known; return the one that counts, the first."""
+        self._evict()
         known = self.beginnings.get(stream_key)
         if known is None:
             expires_at = self.clock() + ttl_s
@@ -160,14 +161,14 @@
         """Drop the records that have expired, and beyond the limit those that do so first."""
         now = self.clock()
         while self.expiries and (
-            len(self.beginnings) > self.max_records or self.expiries[0][0] < now
+            len(self.beginnings) > self.max_records or self.expiries[0][0] <= now
         ):
             del self.beginnings[heapq.heappop(self.expiries)[1]]
 
     def get(self, stream_key: str) -> str | None:
         """Return the version that began a stream if this daemon knows it."""
         beginning = self.beginnings.get(stream_key)
-        if beginning is None or beginning.expires_at < self.clock():
+        if beginning is None or beginning.expires_at <= self.clock():
             return None
         return beginning.software_version
 
--- a/tests/fleet/test_stream_versions.py
+++ b/tests/fleet/test_stream_versions.py
@@ -154,6 +154,13 @@
         self.now += 2.0
         self.assertIsNone(self.daemons["f1"].get("s1"))
 
+    async def test_stream_that_has_expired_can_begin_again(self) -> None:
+        daemon = self.daemons["f1"]
+        daemon.record("s1", "v1", 300.0)
+        self.now += 300.0
+        daemon.record("s1", "v2", 300.0)
+        self.assertEqual(daemon.get("s1"), "v2")
+
     async def test_records_that_expire_first_give_way_beyond_the_limit(self) -> None:
         daemon = self.daemons["f1"]
         daemon.max_records = 2
