Close a connection whose greeting was not sent, and keep its error with the calls

Found by reading. A try to connect that ran out of time after the connection was open left it open, and an error that is not expected would have ended the task group of the daemon instead of the calls that wait for the try.

--- a/acaciarill/peers/_links.py
+++ b/acaciarill/peers/_links.py
@@ -201,6 +201,7 @@
         ) from attempt.error
 
     async def _attempt_connect(self, address: str, attempt: _ConnectAttempt) -> None:
+        stream: anyio.abc.ByteStream | None = None
         try:
             host, port = split_address(check_address(address))
             with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -209,8 +210,10 @@
                 await frame_stream.send(messages.Frame(call_id=0, greeting=self.greeting))
             attempt.link = self.links_by_address[address] = _Link(frame_stream)
             self.task_group.start_soon(attempt.link.read_frames, self._handle_notify)
-        except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
+        except Exception as error:  # each call raises it; the task group must not end
             attempt.error = error
+            if stream is not None:
+                await anyio.aclose_forcefully(stream)
         finally:
             del self.attempts[address]
             attempt.finished.set()
