Tell streams at once to daemons that have just become known

Why this works: a stream that begins looks at the daemons as they are now, and what waits for a daemon that is gone or renamed is told to those that come first now.

--- a/acaciarill/fleet/_stream_versions.py
+++ b/acaciarill/fleet/_stream_versions.py
@@ -127,7 +127,7 @@
         if self.get(stream_key) is not None:
             return
         self._add(stream_key, software_version, ttl_s)
-        self._keep(stream_key)
+        self._keep(stream_key, self._find_staying())
 
     def store(
         self,
@@ -216,7 +216,7 @@
             stream_key, record.software_version, record.remaining_s, self._incarnation(holder)
         )
         # The stream goes on here: the daemons that come first now may be others than then.
-        self._keep(stream_key)
+        self._keep(stream_key, self._find_staying())
         return record.software_version
 
     def _daemons_to_ask(self, stream_key: str) -> list[str]:
@@ -229,20 +229,19 @@
 
     # Telling others
 
-    def _keep(self, stream_key: str) -> None:
+    def _keep(self, stream_key: str, staying: dict[str, Member]) -> None:
         """See to it that the daemons that come first in a stream's order know its version."""
         beginning = self.beginnings.get(stream_key)
         if beginning is None:
             return
         beginning.is_kept = True
-        for incarnation in self._wanted_holders(stream_key):
+        for incarnation in self._wanted_holders(stream_key, staying):
             if incarnation not in beginning.holders:
                 self.untold.setdefault(incarnation, {})[stream_key] = None
                 self._start_telling(incarnation)
 
-    def _wanted_holders(self, stream_key: str) -> list[str]:
+    def _wanted_holders(self, stream_key: str, staying: dict[str, Member]) -> list[str]:
         """Return the incarnations of the first other daemons of each role, or two of one role."""
-        staying = self.staying or self._find_staying()
         incarnations = {m.name: incarnation for incarnation, m in staying.items()}
         usable = [m for m in staying.values() if not m.draining and m.unreachable_since is None]
         by_role: dict[bool, list[str]] = {True: [], False: []}
@@ -292,8 +291,12 @@
         """
         try:
             while keys := self.untold.get(incarnation):
-                member = self._find_staying().get(incarnation)
-                if member is None:
+                staying = self._find_staying()
+                member = staying.get(incarnation)
+                if member is None:  # it has left, or has just become known by its incarnation
+                    del self.untold[incarnation]
+                    for stream_key in keys:
+                        self._keep(stream_key, staying)
                     return
                 batch = list(islice(keys, MAX_STREAMS_PER_MESSAGE))
                 records = [r for key in batch if (r := self.get_record(key)) is not None]
@@ -332,7 +335,7 @@
                 if turn % RECORDS_PER_TURN == 0:
                     await anyio.lowlevel.checkpoint()
                 if self._lacks_holder(stream_key, staying, joined) or stream_key in untold:
-                    self._keep(stream_key)
+                    self._keep(stream_key, staying)
         for incarnation in list(self.untold):
             self._start_telling(incarnation)
 
@@ -394,7 +397,7 @@
             beginning = self.beginnings.get(stream_key)
             if beginning is not None and reachable.isdisjoint(beginning.holders):
                 unsafe += 1
-                self._keep(stream_key)
+                self._keep(stream_key, staying)
         return unsafe
 
 
--- a/tests/fleet/test_stream_holders.py
+++ b/tests/fleet/test_stream_holders.py
@@ -149,6 +149,28 @@
 
         run_in_virtual_time(play())
 
+    # A daemon that became known by its incarnation meanwhile was told half a second later.
+    def test_streams_that_begin_while_daemons_become_known_are_told_at_once(self) -> None:
+        async def play(seed: int) -> None:
+            async with anyio.create_task_group() as tasks:
+                fleet = SimulatedFleet(tasks, seed, 3, 2)
+                for name in fleet.roles:
+                    fleet.start(name)
+                    await anyio.sleep(fleet.rng.uniform(0.0, 0.05))
+                keys: list[str] = []
+                for number in range(60):
+                    keys.append(f"s{number}")
+                    fleet.up["f0"].versions.record(keys[-1], "v1")
+                    await anyio.sleep(0.005)
+                await anyio.sleep(0.1)
+                few = [key for key in keys if len(fleet.knowers(key)) < 3]
+                self.assertEqual(few, [])
+                tasks.cancel_scope.cancel()
+
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                run_in_virtual_time(play(seed))
+
     def test_random_restarts_that_overlap(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
