End the check of streams in a stop before the time for it is over

Seen in a trial with old and new builds side by side: a front whose clients' streams ran to the end of the grace time logged "hand over streams" as cut off, with the action that others take over, though all had been handed over at once. The check that repeats while clients are served ran until leave_fleet ended it. It ends by itself now if another round would not be over in time; the last check of the stop follows anyway. The new test failed before.

--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -51,6 +51,7 @@
     DUTY_LEASE_TTL_S,
     FINAL_HAND_OVER_S,
     PING_PERIOD_S,
+    PING_TIMEOUT_S,
     RETIRE_PERIOD_S,
     SCALE_PERIOD_S,
     STREAM_HOLDERS_PERIOD_S,
@@ -571,7 +572,10 @@
     async def _hand_over_streams(self) -> None:
         """Hand over what is known of streams, and again while clients are still served."""
         await self.stream_versions.hand_over()
+        round_s = PING_PERIOD_S + PING_TIMEOUT_S
         while self.edge_server is not None and not self.clients_drained:
+            if self.clock() + round_s > self.drain_deadline:
+                return
             await anyio.sleep(PING_PERIOD_S)
             await self._check_streams_handed_over()
 
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -16,6 +16,7 @@
 from tests.fakes.event_loop import PlainLoopTestCase
 from tests.fakes.unresponsive import unresponsive_address
 from tests.platform.fakes import submission
+from tests.platform.test_stream_versions import ClientStream, VersionFleet
 from tests.platform.test_whole_path import TEST_TIMEOUT_S, LocalFleet, wait_until
 
 GRACE_S = 8.0
@@ -154,3 +155,22 @@
             text = daemon.metrics.text().decode()
         for step in ("announce", "release duties"):
             self.assertIn(f'steps_total{{outcome="failed",step="{step}"}} 1.0', text)
+
+    # The check of the streams ran until it was cut off, and was logged as work for other daemons.
+    async def test_stop_with_a_stream_that_runs_to_the_end_of_the_grace_time(self) -> None:
+        with anyio.fail_after(TEST_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                fleet = VersionFleet(tasks)
+                fleet.drain_s = GRACE_S
+                for engine in fleet.engines:
+                    engine.event_count, engine.event_interval_s = 400, 0.15
+                await fleet.start()
+                stream = ClientStream("s1")
+                tasks.start_soon(fleet.read, "f1", stream)
+                await wait_until(lambda: bool(stream.events))
+                daemon = fleet.daemons["f1"]
+                await self.check_stop(fleet, "f1")
+                text = daemon.metrics.text().decode()
+                tasks.cancel_scope.cancel()
+        self.assertIn('steps_total{outcome="completed",step="hand over streams"} 1.0', text)
+        self.assertNotIn('outcome="cut off"', text)
