Test that daemons of an earlier build are told of streams

They are told one stream a message; nothing tested that. The test lets four daemons refuse the message, and fails without the fallback.

--- a/tests/platform/test_stream_restarts.py
+++ b/tests/platform/test_stream_restarts.py
@@ -106,3 +106,19 @@
 
     async def test_keepers_and_then_fronts_are_killed_in_turn(self) -> None:
         await self.check_taken_up(("s1", "f2", "s2", "f3"), kills=True)
+
+    # A rolling upgrade from 03f8a1e: that build does not know the message of several streams.
+    async def test_daemons_of_an_earlier_build_are_told_one_stream_at_a_time(self) -> None:
+        async with run_fleet() as fleet:
+            for name in ("f2", "f3", "s1", "s2"):
+                del fleet.daemons[name].peers.server.handlers["streams_begun"]
+            versions = fleet.daemons["f1"].stream_versions
+            keys = [f"k{number}" for number in range(STREAMS)]
+            for key in keys:
+                versions.record(key, "v1")
+            others = [fleet.daemons[n].stream_versions for n in ("f2", "f3", "s1", "s2")]
+            with anyio.fail_after(CONTACT_S):
+                await wait_until(
+                    lambda: all(sum(o.get(key) == "v1" for o in others) >= 2 for key in keys)
+                )
+            self.assertFalse(any(versions.untold.values()))
