--- a/acaciarill/batches/_heads.py
+++ b/acaciarill/batches/_heads.py
@@ -52,7 +52,9 @@
         store: ObjectAccess,
         decode_submission: Callable[[bytes], Submission],
         max_cached_bytes: int = SubmissionLimits().total_bytes,
+        on_load: Callable[[str], None] = lambda outcome: None,
     ) -> None:
+        self.on_load = on_load
         self.mirror = mirror
         self.store = store
         self.decode_submission = decode_submission
@@ -113,6 +115,7 @@
             load = self.loads.get(batch_id)
             if load is None:
                 return await self._load(batch_id, head)
+            self.on_load("shared")
             await load.finished.wait()
             if load.error is not None:
                 raise load.error
@@ -126,9 +129,11 @@
             submission = self.decode_submission(await self.load_body(batch_id, head))
             self.cache_submission(batch_id, submission)
             load.submission = submission
+            self.on_load("loaded")
             return submission
         except StoreError as error:
             load.error = error
+            self.on_load("refused" if error.outcome is Outcome.NOT_RUN else "failed")
             raise
         finally:
             del self.loads[batch_id]
--- a/acaciarill/batches/_manager.py
+++ b/acaciarill/batches/_manager.py
@@ -44,6 +44,7 @@
     task_group: anyio.abc.TaskGroup
     text_limits: TextLimits = field(default_factory=TextLimits)
     submission_limits: SubmissionLimits = field(default_factory=SubmissionLimits)
+    on_load: Callable[[str], None] = lambda outcome: None
 
 
 class BatchManager:
@@ -77,7 +78,11 @@
         self.texts = TextCache(ports.text_limits)
         self.draining = False
         self.heads = BatchHeadStore(
-            mirror, ports.store, ports.decode_submission, ports.submission_limits.total_bytes
+            mirror,
+            ports.store,
+            ports.decode_submission,
+            ports.submission_limits.total_bytes,
+            ports.on_load,
         )
         self.acceptance = Acceptance(
             self.heads,
--- a/acaciarill/fleet/__init__.py
+++ b/acaciarill/fleet/__init__.py
@@ -30,7 +30,8 @@
 from ._quarantine import REQUEST_QUARANTINED, Quarantine, TrialGrant
 from ._rate_limits import Permit, RateLimit
 from ._store_channel import StoreChannel
-from ._stream_versions import StreamRecord, StreamVersions, bound_stream_key
+from ._stream_records import StreamRecord, bound_stream_key
+from ._stream_versions import StreamVersions
 from ._streaming import StreamForwarder, is_event_stream
 from ._upstreams import UpstreamState, UpstreamTable
 
--- a/acaciarill/fleet/_store_channel.py
+++ b/acaciarill/fleet/_store_channel.py
@@ -29,8 +29,10 @@
         pool: HttpPool,
         clock: Callable[[], float],
         on_call: Callable[[str, bool], None] = lambda method, relayed: None,
+        on_out_of_time: Callable[[], None] = lambda: None,
     ) -> None:
         self.on_call = on_call
+        self.on_out_of_time = on_out_of_time
         self.address = address
         self.pool = pool
         self.clock = clock
@@ -85,6 +87,8 @@
                 raise  # the caller must find out whether a lost write was applied
             response = await self._call_via_peer(method, target, body, timeout_s, deadline)
             if response is None:
+                if self.clock() >= deadline:
+                    self.on_out_of_time()
                 raise
             return response
         if status in REJECTED_STATUSES:
--- a/acaciarill/fleet/_stream_versions.py
+++ b/acaciarill/fleet/_stream_versions.py
@@ -3,7 +3,6 @@
 [stream-versions.md](../../docs/design/stream-versions.md) weighs the design.
 """
 
-import hashlib
 import heapq
 import sys
 from collections.abc import Awaitable, Callable, Iterable
@@ -16,33 +15,18 @@
 from ..errors import PeerError
 from ..peers import rendezvous_order, rendezvous_rank
 from ._members import ROLE_FRONT, Member, Members
+from ._stream_records import StreamRecord
 from .const import (
     HAND_OVER_POLL_S,
     LOST_HOLDERS_ASKED,
-    MAX_STREAM_KEY_CHARACTERS,
     MAX_STREAM_VERSIONS,
     MAX_STREAMS_PER_MESSAGE,
     RECORDS_PER_TURN,
-    STREAM_AGE_FACTOR,
-    STREAM_AGE_MIN_S,
     STREAM_HOLDERS_ASKED,
     STREAM_LOOKUP_TIMEOUT_S,
     STREAM_VERSION_TTL_S,
 )
 
-
-@dataclass(slots=True, frozen=True)
-class StreamRecord:
-    """Hold which software version began a stream, as daemons tell it each other.
-
-    `remaining_s` is how long it is still to be known, in seconds.
-    """
-
-    stream_key: str
-    software_version: str
-    remaining_s: float
-
-
 TellHolder = Callable[[str, list[StreamRecord]], Awaitable[None]]
 """Tell a daemon, by its name, which software versions began streams; raise PeerError."""
 AskHolder = Callable[[str, str], Awaitable[StreamRecord | None]]
@@ -64,28 +48,6 @@
     is_kept: bool = False
 
 
-def make_stream_key(customer: str, request_id: str) -> str:
-    """Return the key of a stream: two customers may use the same id for different requests."""
-    return bound_stream_key(f"{len(customer)}:{customer}{request_id}")
-
-
-def bound_stream_key(stream_key: str) -> str:
-    """Return a key as it is, or the digest of a long one: clients choose the ids of requests."""
-    if len(stream_key) <= MAX_STREAM_KEY_CHARACTERS:
-        return stream_key
-    return "digest:" + hashlib.blake2b(stream_key.encode(), digest_size=16).hexdigest()
-
-
-def stream_age_s(timeout_s: float) -> float:
-    """Return for how long clients may take up a stream, by its route's timeout, in seconds."""
-    return max(STREAM_AGE_MIN_S, STREAM_AGE_FACTOR * timeout_s)
-
-
-def record_ttl_s(timeout_s: float) -> float:
-    """Return for how long a stream is known, by its route's timeout, in seconds."""
-    return max(STREAM_VERSION_TTL_S, stream_age_s(timeout_s))
-
-
 class StreamVersions:
     """Hold the software versions that began streams, by the key of each.
 
--- a/acaciarill/fleet/_streaming.py
+++ b/acaciarill/fleet/_streaming.py
@@ -9,7 +9,8 @@
 from ..errors import Outcome, RefusedError, Step, UpstreamError
 from ._attempts import UPSTREAM_LEFT, Attempt
 from ._forward import ForwardedRequest, Forwarder
-from ._stream_versions import StreamVersions, make_stream_key, record_ttl_s, stream_age_s
+from ._stream_records import make_stream_key, record_ttl_s, stream_age_s
+from ._stream_versions import StreamVersions
 from ._upstreams import UpstreamState
 from .const import (
     DEADLINE_RESERVE_S,
--- a/acaciarill/fleet_daemon/_daemon.py
+++ b/acaciarill/fleet_daemon/_daemon.py
@@ -45,13 +45,10 @@
 )
 from ..fleet.const import (
     DRAIN_MARGIN_S,
-    DRAIN_NOTICE_S,
     DRAIN_POLL_S,
     DUTY_LEASE_RENEW_PERIOD_S,
     DUTY_LEASE_TTL_S,
-    FINAL_HAND_OVER_S,
     PING_PERIOD_S,
-    PING_TIMEOUT_S,
     RETIRE_PERIOD_S,
     SCALE_PERIOD_S,
     STREAM_HOLDERS_PERIOD_S,
@@ -63,8 +60,8 @@
 from ..relays import RelayClient, RelayServer, UpstreamLinks
 from ..relays.const import RELAY_PING_PERIOD_S
 from ..timer import TimerService
+from ._drain import Drain
 from ._feed import MirrorFeed
-from ._leaving import leave_fleet, log_drain_step
 from ._metrics import Metrics
 from ._mirrors import FleetMirrors
 from ._peers import PeerService
@@ -107,12 +104,15 @@
         self.metrics.watch_connections(self.budget)
         self.pool = HttpPool(self.clock)
         self.channel = StoreChannel(
-            settings.store, self.pool, self.clock, self.metrics.count_store_call
+            settings.store,
+            self.pool,
+            self.clock,
+            self.metrics.count_store_call,
+            self.metrics.count_store_call_out_of_time,
         )
         self.store = ports.store(self.channel)
         self.ready = False
         self.draining = False
-        self.clients_drained = False
         self.drain_deadline = math.inf
         self.members = Members(
             settings.host, settings.peers, settings.data_centre, settings.role, self.clock
@@ -153,6 +153,7 @@
             self.rng,
             self.budget,
             self.metrics.count_peer_call_failure,
+            self.metrics.count_ping,
         )
         self.channel.relay = self.peers.relay
         self.peers.table = self.table
@@ -219,12 +220,12 @@
         self.peers.permits = permits
         self.quarantine = Quarantine(
             Issuers(self.members, self.clock),
-            self.peers.take_trial,
-            self.peers.share_crashes,
+            self.peers.crashes.take_trial,
+            self.peers.crashes.share_crashes,
             self.clock,
             self.metrics.count_quarantine_decision,
         )
-        self.peers.quarantine = self.quarantine
+        self.peers.crashes.quarantine = self.quarantine
         crash_detector = CrashDetector(
             lambda address, timeout_s: self.links.is_refused(
                 self.pool.is_refused, address, timeout_s
@@ -255,8 +256,8 @@
         )
         self.stream_versions = StreamVersions(
             self.members,
-            self.peers.tell_streams,
-            self.peers.find_stream,
+            self.peers.streams.tell,
+            self.peers.streams.find,
             self.clock,
             self.task_group.start_soon,
             self.metrics.count_stream_lookup,
@@ -264,7 +265,7 @@
             self.settings.max_stream_records,
         )
         self.metrics.watch_streams(self.stream_versions)
-        self.peers.stream_versions = self.stream_versions
+        self.peers.streams.versions = self.stream_versions
         self.scheduler = EngineScheduler(
             self.table,
             self.clock,
@@ -294,6 +295,7 @@
                     self.settings.max_object_bytes, self.settings.memory_bytes
                 ),
                 SubmissionLimits.from_memory(self.settings.memory_bytes),
+                self.metrics.count_batch_load,
             ),
             self.settings.batch_retention_s,
         )
@@ -437,7 +439,7 @@
             subscribe(CLAIM_PERIOD_S, self.batch_manager.claim_and_expire)
         self._start_duties()
         with anyio.move_on_after(CRASH_LEARNING_TIMEOUT_S):
-            await self.peers.learn_crashes()
+            await self.peers.crashes.learn_crashes()
         self.ready = True
         log_message(
             message_type="daemon:started",
@@ -542,59 +544,19 @@
     async def _drain(self) -> None:
         """Fail readiness, finish the requests that still run, and leave the fleet meanwhile."""
         log_message(message_type="daemon:draining", host=self.settings.host)
-        started = self.clock()
         self.draining = self.members.own.draining = self.relay_server.draining = True
-        self.drain_deadline = started + self.settings.drain_s - DRAIN_MARGIN_S
-        # Clients never wait for what other daemons and the store do.
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._leave_fleet)
-            if self.edge_server is not None:
-                await self._drain_clients(self.edge_server, started)
-            self.clients_drained = True
-        with anyio.move_on_after(max(FINAL_HAND_OVER_S, self.drain_deadline - self.clock())):
-            await self._check_streams_handed_over()
-        await self._finish_relaying(self.drain_deadline)
-        if self.edge_server is not None:
-            self.edge_server.stop_accepting()
-
-    async def _leave_fleet(self) -> None:
-        await leave_fleet(
+        self.drain_deadline = self.clock() + self.settings.drain_s - DRAIN_MARGIN_S
+        drain = Drain(
+            self.clock,
+            self.drain_deadline,
+            self.edge_server,
+            self.relay_server,
             self.peers.ping_all,
+            self.stream_versions,
             {
                 "release duties": self.duties.release_all,
                 "hand over batches": self.batch_manager.hand_over,
-                "hand over streams": self._hand_over_streams,
             },
-            self.drain_deadline - self.clock(),
             self.metrics.count_drain_step,
         )
-
-    async def _hand_over_streams(self) -> None:
-        """Hand over what is known of streams, and again while clients are still served."""
-        await self.stream_versions.hand_over()
-        round_s = PING_PERIOD_S + PING_TIMEOUT_S
-        while self.edge_server is not None and not self.clients_drained:
-            if self.clock() + round_s > self.drain_deadline:
-                return
-            await anyio.sleep(PING_PERIOD_S)
-            await self._check_streams_handed_over()
-
-    async def _check_streams_handed_over(self) -> None:
-        """Hand over the streams of which only daemons knew that are lost by now."""
-        if self.stream_versions.beginnings:
-            await self.peers.ping_all()
-            await self.stream_versions.hand_over()
-
-    async def _drain_clients(self, edge_server: EdgeServer, started: float) -> None:
-        """Close idle connections, finish the requests that run, and end those that run too long."""
-        await anyio.sleep(DRAIN_NOTICE_S)
-        log_drain_step("close idle connections", self.clock() - started)
-        edge_server.drain()
-        while edge_server.active_requests and self.clock() < self.drain_deadline:  # noqa: ASYNC110
-            await anyio.sleep(DRAIN_POLL_S)
-        log_drain_step("end requests", self.clock() - started)
-        await edge_server.end_requests()
-
-    async def _finish_relaying(self, deadline: float) -> None:
-        while self.relay_server.active_exchanges and self.clock() < deadline:  # noqa: ASYNC110
-            await anyio.sleep(DRAIN_POLL_S)
+        await drain.run()
--- a/acaciarill/fleet_daemon/_metrics.py
+++ b/acaciarill/fleet_daemon/_metrics.py
@@ -33,6 +33,19 @@
             registry=self.registry,
         )
 
+        self.store_calls_out_of_time = Counter(
+            "acaciarill_store_calls_out_of_time",
+            "Calls to the object store whose tries had used their time up",
+            registry=self.registry,
+        )
+
+        self.batch_loads = Counter(
+            "acaciarill_batch_loads",
+            "Submissions that were not cached and were read from the store, by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
+
         self.attempts = Counter(
             "acaciarill_attempts",
             "Requests sent to upstreams, by whether the upstream had named a rate limit",
@@ -120,6 +133,13 @@
             registry=self.registry,
         )
 
+        self.pings = Counter(
+            "acaciarill_pings",
+            "Pings of other daemons, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+
         self.drain_steps = Counter(
             "acaciarill_drain_steps",
             "Steps of a planned stop that wait for other daemons or the store, by how they ended",
@@ -219,6 +239,18 @@
         """Count one call to another daemon that got no response."""
         self.peer_call_failures.labels(kind).inc()
 
+    def count_store_call_out_of_time(self) -> None:
+        """Count one call to the object store that was given up."""
+        self.store_calls_out_of_time.inc()
+
+    def count_batch_load(self, outcome: str) -> None:
+        """Count one submission that was asked for and not cached."""
+        self.batch_loads.labels(outcome).inc()
+
+    def count_ping(self, reason: str) -> None:
+        """Count one ping of another daemon."""
+        self.pings.labels(reason).inc()
+
     def count_drain_step(self, step: str, outcome: str) -> None:
         """Count one step of a planned stop."""
         self.drain_steps.labels(step, outcome).inc()
--- a/acaciarill/fleet_daemon/_peers.py
+++ b/acaciarill/fleet_daemon/_peers.py
@@ -12,40 +12,33 @@
 from ..batches import BatchManager, Result, ResultPage
 from ..connection_budget import ConnectionBudget
 from ..control import StartedRequestCounter
-from ..errors import BadRequestError, Outcome, PeerError, Step
+from ..errors import Outcome, PeerError, Step
 from ..fleet import (
     ROLE_FRONT,
     Members,
     Permit,
-    Quarantine,
     RateLimit,
     RatePermits,
     StoreChannel,
-    StreamRecord,
-    StreamVersions,
-    TrialGrant,
     UpstreamTable,
-    bound_stream_key,
 )
 from ..fleet.const import (
-    MAX_STREAM_TTL_S,
     PERMIT_TIMEOUT_S,
     PING_PERIOD_S,
     PING_TIMEOUT_S,
-    STREAM_LOOKUP_TIMEOUT_S,
-    STREAM_VERSION_TTL_S,
     VIEW_FETCH_DELAY_S,
 )
 from ..mirrors import Mirror, MirrorFollower, Record
 from ..peers import PeerLinks, PeerServer, messages
 from ..peers.const import PROTOCOL_VERSION
+from ._crash_calls import CrashCalls
 from ._feed import MirrorServer
+from ._stream_calls import StreamCalls
 
 MS_PER_S = 1000
 RELAY_TIMEOUT_MARGIN_S = 0.3
 """Added to the timeout of a relayed store call for the round trip to the peer."""
 MAX_RELAYS = 2
-MAX_CRASH_SOURCES = 4
 MAX_NEIGHBOURS_PINGED = 64
 """How many daemons before this one in the ring are pinged once the nearest is lost."""
 GREETING_SPREAD_S = 0.01
@@ -53,7 +46,13 @@
 GREETING_SPREAD_MIN_S = 0.5
 GREETING_SPREAD_MAX_S = 1.5
 """With the timeout of a ping, the list is checked well before contact is taken for granted."""
-CRASH_FETCH_RETRY_DELAY_S = 0.1
+
+PING_PERIODIC = "periodic"
+PING_ANNOUNCEMENT = "announcement"
+PING_FIRST_CONTACT = "first contact"
+PING_NEIGHBOUR_LOST = "neighbour lost"
+PING_CALL_FAILED = "call failed"
+PING_REQUESTED = "requested"
 
 
 class PeerService:
@@ -71,6 +70,7 @@
         rng: random.Random,
         budget: ConnectionBudget,
         on_call_failure: Callable[[str], None] = lambda kind: None,
+        on_ping: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self.members = members
         self.channel = channel
@@ -82,12 +82,10 @@
         self.batch_manager: BatchManager | None = None
         self.table: UpstreamTable | None = None
         self.permits: RatePermits | None = None
-        self.quarantine: Quarantine | None = None
-        self.stream_versions: StreamVersions | None = None
-        self.fetching_crashes_from: set[str] = set()
         self.fetching_kinds: set[str] = set()
         self.pinged_addresses: set[str] = set()
         self.on_call_failure = on_call_failure
+        self.on_ping = on_ping
         members.on_registered = self._greet
         own = members.own
         self.greeting = greeting = messages.Greeting(
@@ -110,14 +108,13 @@
             "own_batch": self._on_own_batch,
             "take_permit": self._on_take_permit,
             "limit_lifted": self._on_limit_lifted,
-            "crash_records": self._on_crash_records,
-            "fetch_crashes": self._on_fetch_crashes,
-            "take_trial": self._on_take_trial,
-            "stream_begun": self._on_stream_begun,
-            "streams_begun": self._on_streams_begun,
-            "find_stream": self._on_find_stream,
             "watch_views": MirrorServer(followers, members.clock, urgent_kinds).on_watch_views,
         }
+        self.crashes = CrashCalls(
+            members, self.links, self.address_of, task_group, lambda: self.seeds
+        )
+        self.streams = StreamCalls(self.links, self.address_of, self.incarnation)
+        self.server.handlers |= self.crashes.handlers() | self.streams.handlers()
 
     # Membership and mirrors
 
@@ -131,7 +128,7 @@
             newest={kind: f.mirror.newest for kind, f in self.followers.items()},
             store_reached=self.channel.is_reachable,
             draining=own.draining,
-            crash_digest=self.quarantine.digest if self.quarantine is not None else 0,
+            crash_digest=self.crashes.digest(),
             is_cut_off=own.is_cut_off,
             incarnation=self.incarnation,
         )
@@ -153,13 +150,7 @@
                 continue
             self.fetching_kinds.add(kind)
             self.task_group.start_soon(self._fetch_mirror, ping.address, kind, newest)
-        if (
-            self.quarantine is not None
-            and ping.crash_digest
-            and ping.crash_digest != self.quarantine.digest
-            and ping.address not in self.fetching_crashes_from
-        ):
-            self.task_group.start_soon(self._fetch_crashes, ping.address)
+        self.crashes.compare(ping.address, ping.crash_digest)
 
     async def _on_ping(self, ping: messages.Ping) -> dict[str, messages.Ping]:
         self._process_ping(ping)
@@ -177,27 +168,27 @@
             targets |= {seed: "" for seed in self.seeds if seed != members.own.address}
         async with anyio.create_task_group() as pings:
             for address, name in targets.items():
-                pings.start_soon(self._ping, address, name)
+                pings.start_soon(self._ping, address, name, PING_PERIODIC)
         if members.has_lost_neighbour(PING_PERIOD_S):
             # Daemons of one rack are neighbours in the ring, and may be lost together.
             for name in members.ring_before(MAX_NEIGHBOURS_PINGED):
                 if members.by_name[name].unreachable_since is None:
-                    self.start_ping(name)
+                    self.start_ping(name, PING_NEIGHBOUR_LOST)
 
     async def ping_all(self) -> None:
         """Ping all daemons now, to announce newer mirrors or a drain."""
         async with anyio.create_task_group() as pings:
             for member in list(self.members.by_name.values()):
                 if member is not self.members.own:
-                    pings.start_soon(self._ping, member.address, member.name)
+                    pings.start_soon(self._ping, member.address, member.name, PING_ANNOUNCEMENT)
 
-    def start_ping(self, name: str) -> None:
+    def start_ping(self, name: str, reason: str = PING_REQUESTED) -> None:
         """Ping a known daemon; do not wait for the reply."""
         member = self.members.by_name.get(name)
         if member is not None:
-            self.task_group.start_soon(self._ping, member.address, name)
+            self.task_group.start_soon(self._ping, member.address, name, reason)
 
-    def _address_of(self, name: str) -> str:
+    def address_of(self, name: str) -> str:
         """Return the address of a daemon; raise PeerError if it has left the fleet."""
         member = self.members.by_name.get(name)
         if member is None:
@@ -209,7 +200,8 @@
             )
         return member.address
 
-    async def _ping(self, address: str, name: str) -> None:
+    async def _ping(self, address: str, name: str, reason: str) -> None:
+        self.on_ping(reason)
         self.pinged_addresses.add(address)
         try:
             frame = await self.links.call(address, PING_TIMEOUT_S, ping=self._own_ping())
@@ -225,7 +217,7 @@
         self.on_call_failure(kind)
         member = self.members.reachable_at(address)
         if member is not None and address not in self.pinged_addresses:
-            self.start_ping(member.name)
+            self.start_ping(member.name, PING_CALL_FAILED)
 
     def _greet(self, name: str) -> None:
         """Ping a daemon that is new on the list soon; its host may have been removed long ago.
@@ -239,7 +231,7 @@
         await anyio.sleep(self.rng.random() * min(spread_s, GREETING_SPREAD_MAX_S))
         member = self.members.by_name.get(name)
         if member is not None and not member.incarnation:
-            await self._ping(member.address, name)
+            await self._ping(member.address, name, PING_FIRST_CONTACT)
 
     async def _on_fetch_view(self, call: messages.FetchView) -> dict[str, messages.ViewData]:
         mirror = self._loaded_mirror(call.kind)
@@ -339,7 +331,7 @@
             body=body,
             texts=texts,
         )
-        await self.links.call(self._address_of(owner), own_batch=call)
+        await self.links.call(self.address_of(owner), own_batch=call)
 
     async def _on_own_batch(self, call: messages.OwnBatch) -> dict[str, messages.Done]:
         if self.batch_manager is None:
@@ -401,7 +393,7 @@
         call = messages.TakePermit(
             upstream=upstream, limit=limit.rate, limit_age_s=limit.age_s, max_wait_s=max_wait_s
         )
-        address = self._address_of(issuer)
+        address = self.address_of(issuer)
         frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_permit=call)
         permit = frame.issued_permit
         return Permit(permit.granted, permit.wait_s, permit.next_s, bool(permit.limit_lifted))
@@ -429,7 +421,7 @@
     async def _announce_lifted(self, issuer: str, upstream: str) -> None:
         call = messages.LimitLifted(upstream=upstream)
         try:
-            await self.links.call(self._address_of(issuer), PERMIT_TIMEOUT_S, limit_lifted=call)
+            await self.links.call(self.address_of(issuer), PERMIT_TIMEOUT_S, limit_lifted=call)
         except PeerError as error:
             log_message(message_type="permits:announce_failed", peer=issuer, reason=error.message)
 
@@ -438,152 +430,6 @@
             self.permits.record_lifted(call.upstream)
         return {"done": messages.Done()}
 
-    # Requests that crash upstreams
-
-    def share_crashes(self, records: bytes) -> None:
-        """Tell every daemon of crashes; do not wait. Daemons that miss it learn by pings."""
-        call = messages.CrashRecords(records=records)
-        for member in list(self.members.by_name.values()):
-            if member is not self.members.own and not self.members.is_dead(member.name):
-                self.task_group.start_soon(self._send_crashes, member.address, call)
-
-    async def _send_crashes(self, address: str, call: messages.CrashRecords) -> None:
-        try:
-            await self.links.call(address, PING_TIMEOUT_S, crash_records=call)
-        except PeerError as error:
-            log_message(message_type="crashes:share_failed", peer=address, reason=error.message)
-
-    async def _on_crash_records(self, call: messages.CrashRecords) -> dict[str, messages.Done]:
-        if self.quarantine is not None:
-            self.quarantine.merge(call.records)
-        return {"done": messages.Done()}
-
-    async def _fetch_crashes(self, address: str) -> bool:
-        """Merge the crash records of a daemon; return whether it answered."""
-        self.fetching_crashes_from.add(address)
-        try:
-            frame = await self.links.call(
-                address, PING_TIMEOUT_S, fetch_crashes=messages.FetchCrashes()
-            )
-        except PeerError as error:
-            log_message(message_type="crashes:fetch_failed", peer=address, reason=error.message)
-            return False
-        finally:
-            self.fetching_crashes_from.discard(address)
-        if self.quarantine is not None:
-            self.quarantine.merge(frame.crash_records.records)
-        return True
-
-    async def _on_fetch_crashes(
-        self, call: messages.FetchCrashes
-    ) -> dict[str, messages.CrashRecords]:
-        records = self.quarantine.encode() if self.quarantine is not None else b"{}"
-        return {"crash_records": messages.CrashRecords(records=records)}
-
-    async def learn_crashes(self) -> None:
-        """Merge the crash records of some daemons, until at least one has answered."""
-        while True:
-            order = self.members.busy_roles_last(self.members.daemons())
-            addresses = [
-                self.members.by_name[name].address for name in order if name != self.members.name
-            ] or [seed for seed in self.seeds if seed != self.members.own.address]
-            answered: list[bool] = []
-
-            async def fetch(address: str, answered: list[bool] = answered) -> None:
-                answered.append(await self._fetch_crashes(address))
-
-            async with anyio.create_task_group() as fetches:
-                for address in addresses[:MAX_CRASH_SOURCES]:
-                    fetches.start_soon(fetch, address)
-            if any(answered):
-                return
-            await anyio.sleep(CRASH_FETCH_RETRY_DELAY_S)
-
-    async def take_trial(
-        self, issuer: str, key: str, attempt_id: str, records: bytes
-    ) -> TrialGrant:
-        """Ask a daemon for a trial of a request; raise PeerError."""
-        call = messages.TakeTrial(request_key=key, attempt_id=attempt_id, records=records)
-        address = self._address_of(issuer)
-        frame = await self.links.call(address, PERMIT_TIMEOUT_S, take_trial=call)
-        issued = frame.issued_trial
-        return TrialGrant(issued.granted, issued.retry_after_s, bool(issued.is_pending))
-
-    async def _on_take_trial(self, call: messages.TakeTrial) -> dict[str, messages.IssuedTrial]:
-        if self.quarantine is None:
-            raise PeerError(
-                "this daemon issues no trials", step=Step.FORWARD, outcome=Outcome.NOT_RUN
-            )
-        self.quarantine.merge(call.records)
-        grant = self.quarantine.issue_trial(call.request_key, call.attempt_id)
-        return {
-            "issued_trial": messages.IssuedTrial(
-                granted=grant.granted,
-                retry_after_s=grant.retry_after_s,
-                is_pending=grant.is_pending,
-            )
-        }
-
-    # Streams
-
-    async def tell_streams(self, holder: str, records: list[StreamRecord]) -> None:
-        """Tell a daemon which software versions began streams; raise PeerError."""
-        address = self._address_of(holder)
-        streams = [
-            messages.StreamBegun(
-                stream=record.stream_key,
-                software_version=record.software_version,
-                remaining_s=record.remaining_s,
-            )
-            for record in records
-        ]
-        if len(streams) > 1:
-            call = messages.StreamsBegun(streams=streams, teller=self.incarnation)
-            try:
-                await self.links.call(address, PING_TIMEOUT_S, streams_begun=call)
-                return
-            except PeerError as error:
-                if error.code != BadRequestError.code:
-                    raise  # else it runs an earlier build, which takes one stream at a time
-        for stream in streams:
-            stream.teller = self.incarnation
-            await self.links.call(address, PING_TIMEOUT_S, stream_begun=stream)
-
-    async def _on_stream_begun(self, call: messages.StreamBegun) -> dict[str, messages.Done]:
-        self._store_streams([call], call.teller or "")
-        return {"done": messages.Done()}
-
-    async def _on_streams_begun(self, call: messages.StreamsBegun) -> dict[str, messages.Done]:
-        self._store_streams(call.streams or [], call.teller or "")
-        return {"done": messages.Done()}
-
-    def _store_streams(self, streams: list[messages.StreamBegun], teller: str) -> None:
-        if self.stream_versions is None:
-            return
-        for stream in streams:
-            key = bound_stream_key(stream.stream or "")
-            ttl_s = _stream_ttl_s(stream.remaining_s)
-            self.stream_versions.store(key, stream.software_version or "", ttl_s, teller)
-
-    async def find_stream(self, holder: str, stream: str) -> StreamRecord | None:
-        """Ask a daemon which software version began a stream; raise PeerError."""
-        call = messages.FindStream(stream=stream)
-        address = self._address_of(holder)
-        frame = await self.links.call(address, STREAM_LOOKUP_TIMEOUT_S, find_stream=call)
-        found = frame.found_stream
-        if found.software_version is None:
-            return None
-        return StreamRecord(stream, found.software_version, _stream_ttl_s(found.remaining_s))
-
-    async def _on_find_stream(self, call: messages.FindStream) -> dict[str, messages.FoundStream]:
-        found = messages.FoundStream()
-        if self.stream_versions is not None:
-            record = self.stream_versions.get_record(bound_stream_key(call.stream or ""))
-            if record is not None:
-                found.software_version = record.software_version
-                found.remaining_s = record.remaining_s
-        return {"found_stream": found}
-
     # Usage
 
     async def collect_usage(self, window: int) -> dict[str, dict[int, dict[str, int]]]:
@@ -616,10 +462,3 @@
         return {
             "collected_usage": messages.CollectedUsage(incarnation=self.incarnation, counts=counts)
         }
-
-
-def _stream_ttl_s(remaining_s: float | None) -> float:
-    """Return for how long a stream is to be known that another daemon told of, in seconds."""
-    if remaining_s is None:  # earlier builds do not tell it
-        return STREAM_VERSION_TTL_S
-    return min(max(0.0, remaining_s), MAX_STREAM_TTL_S)
--- a/acaciarill/peers/__init__.py
+++ b/acaciarill/peers/__init__.py
@@ -4,7 +4,7 @@
 from ._framing import CONNECTION_ERRORS, FrameStream
 from ._links import PeerLinks
 from ._messages import messages
-from ._server import PeerServer
+from ._server import CallHandler, PeerServer
 from ._topology import (
     distribution_tree_order,
     parent_candidates,
@@ -15,6 +15,7 @@
 
 __all__ = [
     "CONNECTION_ERRORS",
+    "CallHandler",
     "FrameStream",
     "PeerLinks",
     "PeerServer",
--- a/tests/batches/test_loading.py
+++ b/tests/batches/test_loading.py
@@ -1,5 +1,6 @@
 """Test that submissions are loaded from the store once, and one at a time."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import anyio
@@ -51,7 +52,13 @@
             self.decoded += 1
             return Submission("m", 0, 0, ())
 
-        self.heads = BatchHeadStore(Mirror(KIND_HEADS), self.store, decode)  # type: ignore[arg-type]
+        self.outcomes: Counter[str] = Counter()
+        self.heads = BatchHeadStore(
+            Mirror(KIND_HEADS),
+            self.store,  # type: ignore[arg-type]
+            decode,
+            on_load=lambda outcome: self.outcomes.update([outcome]),
+        )
 
     async def load(self, batch_id: str) -> Submission:
         head = BatchHead(
@@ -85,6 +92,7 @@
     async def test_concurrent_reads_of_one_batch_share_one_load(self) -> None:
         self.assertEqual(await self.load_all(["b1"] * READERS), [])
         self.assertEqual((self.store.reads, self.decoded), (PARTS, 1))
+        self.assertEqual(self.outcomes, {"loaded": 1, "shared": READERS - 1})
 
     async def test_batches_are_loaded_one_at_a_time(self) -> None:
         ids = [f"b{number % 4}" for number in range(READERS)]
@@ -126,5 +134,6 @@
                 errors = await self.load_all(["b1", "b2", "b3"])
             hanging.cancel_scope.cancel()
         self.assertEqual(errors, ["other batches are being loaded"] * 3)
+        self.assertEqual(self.outcomes["refused"], 3)
         self.store.hangs = False
         self.assertEqual(await self.load_all(["b0", "b1"]), [])
--- a/tests/fleet/test_stream_versions.py
+++ b/tests/fleet/test_stream_versions.py
@@ -15,7 +15,7 @@
     StreamVersions,
     bound_stream_key,
 )
-from acaciarill.fleet._stream_versions import make_stream_key, record_ttl_s
+from acaciarill.fleet._stream_records import make_stream_key, record_ttl_s
 from acaciarill.fleet._version_history import VersionHistory
 from acaciarill.fleet.const import (
     MAX_STREAM_KEY_CHARACTERS,
--- a/tests/platform/test_membership.py
+++ b/tests/platform/test_membership.py
@@ -87,6 +87,8 @@
                     )
                 await anyio.sleep(1.5)
                 self.assertIn("f2", unreachable(caller))
+            metrics = caller.metrics.text().decode()
+            self.assertRegex(metrics, r'pings_total\{reason="call failed"\} [1-9]')
 
     # A daemon that started asked four of the list for crash records, and waited for their timeouts.
     async def test_started_daemon_knows_the_crash_records_beside_removed_hosts(self) -> None:
--- a/tests/platform/test_outdated_lists.py
+++ b/tests/platform/test_outdated_lists.py
@@ -18,7 +18,7 @@
 
     def setUp(self) -> None:
         for name, value in (("STREAM_AGE_MIN_S", 0.5), ("STREAM_AGE_FACTOR", 0.0)):
-            patch = mock.patch(f"acaciarill.fleet._stream_versions.{name}", value)
+            patch = mock.patch(f"acaciarill.fleet._stream_records.{name}", value)
             patch.start()
             self.addCleanup(patch.stop)
 
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -38,5 +38,7 @@
                             await channel.call("GET", "/objects/batches/none")
                         duration_s = anyio.current_time() - started
                         self.assertLess(duration_s, LIMIT_S + MARGIN_S)
+                        metrics = fleet.daemons[name].metrics.text().decode()
+                        self.assertRegex(metrics, r"store_calls_out_of_time_total [1-9]")
                         fleet.store.server.handler = fleet.store.serve
                 tasks.cancel_scope.cancel()
